--- a/bench/entry_bench.cpp
+++ b/bench/entry_bench.cpp
@@ -437,7 +437,8 @@
 
 int main(int argc, char **argv) {
   absl::ParseCommandLine(argc, argv);
-  (void)wasabiwind::base::InitializeLog("ww_entry_bench",
-                                        absl::GetFlag(FLAGS_log_level));
+  (void)wasabiwind::base::InitializeLog(
+      "ww_entry_bench", absl::GetFlag(FLAGS_log_level),
+      wasabiwind::base::LogOutput::kStandardError);
   return wasabiwind::entry::Run();
 }
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -1,6 +1,8 @@
 /** @file error.cpp Names and text of errors. */
 
 #include <array>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
 #include <cassert>
 
 #include "base/error_type.h"
@@ -26,4 +28,14 @@
   return m_message + "; " + m_remedy;
 }
 
+std::string FormatErrorJson(const Error &error) {
+  boost::json::object detail;
+  detail["kind"] = GetErrorKindName(error.m_kind);
+  detail["message"] = error.m_message;
+  detail["remedy"] = error.m_remedy;
+  boost::json::object body;
+  body["error"] = std::move(detail);
+  return boost::json::serialize(body);
+}
+
 }  // namespace wasabiwind::base
--- a/src/base/error_type.h
+++ b/src/base/error_type.h
@@ -41,6 +41,9 @@
   std::string ToString() const;
 };
 
+/** @return the error as a JSON object for an HTTP answer. Thread-safe. */
+std::string FormatErrorJson(const Error &error);
+
 template <typename T>
 using Result = tl::expected<T, Error>;
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -1,7 +1,8 @@
-/** @file log.cpp Structured logs, one JSON object a line on stderr. */
+/** @file log.cpp Structured logs, one JSON object a line. */
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -38,15 +39,27 @@
   return name;
 }
 
-spdlog::logger &Logger() {
-  static std::shared_ptr<spdlog::logger> logger = [] {
-    auto created = std::make_shared<spdlog::logger>(
-        "json", std::make_shared<spdlog::sinks::stderr_sink_mt>());
-    created->set_pattern("%v");
-    created->flush_on(spdlog::level::warn);
-    return created;
-  }();
-  return *logger;
+/** The logger and the thread that writes its lines. */
+struct Writer {
+  std::shared_ptr<spdlog::details::thread_pool> m_pool;
+  std::shared_ptr<spdlog::logger> m_logger;
+};
+
+/** Before InitializeLog, lines go to standard error at once. */
+Writer &CurrentWriter() {
+  static Writer writer{
+      nullptr, std::make_shared<spdlog::logger>(
+                   "json", std::make_shared<spdlog::sinks::stderr_sink_mt>())};
+  return writer;
+}
+
+spdlog::logger &Logger() { return *CurrentWriter().m_logger; }
+
+std::shared_ptr<spdlog::sinks::sink> MakeSink(LogOutput output) {
+  if (output == LogOutput::kStandardError) {
+    return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  }
+  return std::make_shared<spdlog::sinks::stdout_sink_mt>();
 }
 
 std::string FormatTime() {
@@ -62,20 +75,39 @@
 
 }  // namespace
 
-Result<void> InitializeLog(const std::string &program,
-                           const std::string &level) {
+Result<void> InitializeLog(const std::string &program, const std::string &level,
+                           LogOutput output) {
   ProgramName() = program;
   for (const LevelRow &row : kLevels) {
-    if (level == row.m_name) {
-      Logger().set_level(row.m_level);
-      return {};
-    }
+    if (level != row.m_name) continue;
+    Writer &writer = CurrentWriter();
+    writer.m_pool = std::make_shared<spdlog::details::thread_pool>(
+        kMaxQueuedLogLines, /*threads_n=*/1);
+    writer.m_logger = std::make_shared<spdlog::async_logger>(
+        "json", MakeSink(output), writer.m_pool,
+        spdlog::async_overflow_policy::overrun_oldest);
+    writer.m_logger->set_pattern("%v");
+    writer.m_logger->set_level(row.m_level);
+    return {};
   }
   return MakeError(ErrorKind::kInvalidSettings,
                    fmt::format("log level \"{}\" is unknown", level),
                    "use debug, info, warn or error");
 }
 
+std::size_t CountDroppedLogLines() {
+  const Writer &writer = CurrentWriter();
+  return writer.m_pool == nullptr ? 0 : writer.m_pool->overrun_counter();
+}
+
+void ShutDownLog() {
+  Writer &writer = CurrentWriter();
+  writer.m_logger = std::make_shared<spdlog::logger>(
+      "json", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  writer.m_logger->set_pattern("%v");
+  writer.m_pool.reset();
+}
+
 bool IsLogEnabled(LogLevel level) {
   return Logger().should_log(GetLevelRow(level).m_level);
 }
--- a/src/base/log_func.h
+++ b/src/base/log_func.h
@@ -1,4 +1,4 @@
-/** @file log_func.h Structured logs, one JSON object a line on stderr. */
+/** @file log_func.h Structured logs, one JSON object a line. */
 
 #ifndef WASABIWIND_BASE_LOG_FUNC_H_
 #define WASABIWIND_BASE_LOG_FUNC_H_
@@ -34,15 +34,33 @@
   boost::json::value m_value;
 };
 
+/** Where lines go. */
+enum class LogOutput : std::uint8_t {
+  kStandardOutput,  ///< servers
+  kStandardError,   ///< tools whose result goes to standard output
+  kEnd,
+};
+
 /**
- * Sets up the process-wide logger.
+ * Sets up the process-wide logger. Lines are written by a thread of their own:
+ * LogEvent never waits for the output, and when more than kMaxQueuedLogLines
+ * wait, the oldest are dropped and counted.
  * @param program name that each line carries
  * @param level debug, info, warn or error
  * @return an error for an unknown level
  * @pre called once before other threads log
  */
-Result<void> InitializeLog(const std::string &program,
-                           const std::string &level);
+Result<void> InitializeLog(const std::string &program, const std::string &level,
+                           LogOutput output = LogOutput::kStandardOutput);
+
+/** Most lines that wait for the output. */
+inline constexpr std::size_t kMaxQueuedLogLines = 4'096;
+
+/** @return lines dropped because too many waited. Thread-safe. */
+std::size_t CountDroppedLogLines();
+
+/** Writes all waiting lines and ends the writing thread. */
+void ShutDownLog();
 
 /** @return whether a line of this level would be written. Thread-safe. */
 bool IsLogEnabled(LogLevel level);
--- a/src/control/replica_node.cpp
+++ b/src/control/replica_node.cpp
@@ -43,10 +43,6 @@
   return "unknown";
 }
 
-std::int64_t ToMilliseconds(base::Duration duration) {
-  return std::chrono::duration_cast<base::milliseconds>(duration).count();
-}
-
 tl::unexpected<base::Error> MakeBusyError() {
   return base::MakeError(ErrorKind::kOverloaded,
                          "too many requests wait for the replicated log",
@@ -70,7 +66,7 @@
 
 ReplicaNode::ReplicaNode(ReplicaNodeOptions options,
                          std::unique_ptr<replica::FileSystem> files,
-                         Sender sender, StateMachine *machine)
+                         Sender sender, LogMachine *machine)
     : m_options(std::move(options)),
       m_files(std::move(files)),
       m_sender(std::move(sender)),
@@ -103,7 +99,7 @@
                                    base::MakeSeed(), base::Clock::now());
   if (base::Result<void> done = RestoreFromSnapshot(); !done) return done;
   LogEvent(LogLevel::kInfo, "replica_opened",
-           {{"took_ms", ToMilliseconds(base::Clock::now() - start)},
+           {{"took_ms", base::ToMilliseconds(base::Clock::now() - start)},
             {"term", m_state.m_term},
             {"last_index", replica::GetLastIndex(m_state.m_log)},
             {"snapshot_index", m_state.m_snapshot.m_position.m_index},
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -24,19 +24,11 @@
 /**
  * State that changes only through commands of the log. Used by one thread. The
  * same commands in the same order must give the same state and outcomes on
- * every host, so Apply uses neither clocks nor random numbers: MakeCommand
- * puts the time into the command.
+ * every host, so Apply uses neither clocks nor random numbers.
  */
-class StateMachine {
+class LogMachine {
  public:
-  virtual ~StateMachine() = default;
-
-  /** @return the command for an operators' request. */
-  virtual std::string MakeCommand(const gen::ApplyRequest &request,
-                                  base::WallTime now) const = 0;
-
-  /** @return what Apply would return now; changes nothing. */
-  virtual CommandOutcome Test(const std::string &command) const = 0;
+  virtual ~LogMachine() = default;
 
   /** Carries out a committed command. */
   virtual CommandOutcome Apply(const std::string &command) = 0;
@@ -50,6 +42,17 @@
 
   /** Replaces the state. @return kCorrupt if the bytes are no state */
   virtual base::Result<void> Restore(const std::string &bytes) = 0;
+};
+
+/** What ww_control replicates. */
+class StateMachine : public LogMachine {
+ public:
+  /** @return the command for an operators' request; it carries the time. */
+  virtual std::string MakeCommand(const gen::ApplyRequest &request,
+                                  base::WallTime now) const = 0;
+
+  /** @return what Apply would return now; changes nothing. */
+  virtual CommandOutcome Test(const std::string &command) const = 0;
 
   /** @param revision nullopt for the current one */
   virtual OperatorsResult<gen::ConfigReply> PrintConfig(
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -114,7 +114,8 @@
     {
       std::lock_guard<std::mutex> lock(m_mutex);
       if (m_state != State::kWaiting) return m_state;
-      m_timer.emplace(m_io_context, m_deadline);
+      m_timer.emplace(m_io_context);
+      net::ExpireAt(&*m_timer, m_deadline);
       m_is_suspended = true;
     }
     net::Await([this](auto handler) { m_timer->async_wait(handler); });
--- a/src/entry/network_link.cpp
+++ b/src/entry/network_link.cpp
@@ -368,7 +368,7 @@
     for (const RepeatedNotice &notice : m_notices) {
       wake = std::min(wake, notice.m_reported + kNoticeRepeats[notice.m_sent]);
     }
-    m_timer->expires_at(wake);
+    net::ExpireAt(m_timer.get(), wake);
     net::Await([this](auto handler) { m_timer->async_wait(handler); });
   }
 }
--- /dev/null
+++ b/src/fleet/follower.cpp
@@ -0,0 +1,91 @@
+/** @file follower.cpp Following the facts that control hosts publish. */
+
+#include "fleet/follower_func.h"
+
+namespace wasabiwind::fleet {
+
+namespace {
+
+OutMessage MakeRequest(Follower *follower, const std::string &publisher,
+                       bool wants_routes, base::TimePoint now) {
+  OutMessage out;
+  out.m_to = publisher;
+  gen::FollowRequest *request = out.m_message.mutable_follow();
+  *request = follower->m_self;
+  auto known = follower->m_view.m_publishers.find(publisher);
+  if (known != follower->m_view.m_publishers.end()) {
+    request->set_publisher_epoch(known->second.m_epoch);
+    request->set_acked_number(known->second.m_acked_number);
+  }
+  request->set_routes_version(follower->m_routes_version);
+  request->set_wants_routes(wants_routes);
+  follower->m_asked_at[publisher] = now;
+  return out;
+}
+
+/** Drops control hosts that are gone for good. */
+void ForgetSilentPublishers(Follower *follower, base::TimePoint now) {
+  FleetView &view = follower->m_view;
+  absl::erase_if(view.m_controls, [&](const auto &item) {
+    auto found = view.m_publishers.find(item.second.endpoint());
+    return found != view.m_publishers.end() &&
+           now > found->second.m_heard_at + kForgetPublisher;
+  });
+}
+
+}  // namespace
+
+std::set<std::string> ListPublishers(const Follower &follower) {
+  std::set<std::string> publishers = follower.m_seeds;
+  for (const auto &[name, control] : follower.m_view.m_controls) {
+    publishers.insert(control.endpoint());
+  }
+  publishers.erase(follower.m_own_endpoint);
+  publishers.erase("");
+  return publishers;
+}
+
+std::vector<OutMessage> TickFollower(Follower *follower, base::TimePoint now) {
+  ForgetSilentPublishers(follower, now);
+  std::vector<OutMessage> messages;
+  for (const std::string &publisher : ListPublishers(*follower)) {
+    auto asked = follower->m_asked_at.find(publisher);
+    bool is_due = asked == follower->m_asked_at.end() ||
+                  now >= asked->second + kFollowPeriod;
+    if (!is_due) continue;
+    messages.push_back(
+        MakeRequest(follower, publisher, /*wants_routes=*/false, now));
+  }
+  return messages;
+}
+
+std::vector<OutMessage> AnnounceToAll(Follower *follower, base::TimePoint now) {
+  std::vector<OutMessage> messages;
+  for (const std::string &publisher : ListPublishers(*follower)) {
+    messages.push_back(
+        MakeRequest(follower, publisher, /*wants_routes=*/false, now));
+  }
+  return messages;
+}
+
+NewsResult HandleNews(Follower *follower, const std::string &from,
+                      const gen::News &news, base::TimePoint now) {
+  NewsResult result;
+  NewsOutcome outcome = ApplyNews(&follower->m_view, from, news, now);
+  result.m_changed_upstreams = std::move(outcome.m_changed_upstreams);
+  if (news.routes().version() > follower->m_routes_version) {
+    follower->m_routes_version = news.routes().version();
+    result.m_routes = news.routes();
+  }
+  bool wants_routes = news.routes_version() > follower->m_routes_version &&
+                      now >= follower->m_routes_asked_at + kRoutesRetry;
+  if (wants_routes) follower->m_routes_asked_at = now;
+  bool must_answer = news.facts_size() != 0 || outcome.m_is_new_epoch ||
+                     !outcome.m_is_complete || wants_routes;
+  if (must_answer) {
+    result.m_messages.push_back(MakeRequest(follower, from, wants_routes, now));
+  }
+  return result;
+}
+
+}  // namespace wasabiwind::fleet
--- /dev/null
+++ b/src/fleet/residency.cpp
@@ -0,0 +1,256 @@
+/** @file residency.cpp Demands, books of runners and answers to orders. */
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "fleet/residency_func.h"
+#include "fleet/residency_internal.h"
+
+namespace wasabiwind::fleet {
+
+namespace {
+
+/** Time constant of the mean rate of requests. */
+constexpr double kRateSeconds = 8.0;
+/** A report of waiting requests counts for this long. */
+constexpr base::milliseconds kWaitingLifetime{1'500};
+/** A runner's report may be older than its arrival by this much. */
+constexpr base::milliseconds kReportLag{700};
+constexpr base::milliseconds kConflictPause{250};
+constexpr base::milliseconds kRefusalPause{5'000};
+constexpr base::milliseconds kUnknownPause{150};
+/** A load in progress is asked for when it is late by this much. */
+constexpr base::milliseconds kLateBy{1'000};
+constexpr base::milliseconds kUnknownBusy{1'500};
+
+double Decay(double seconds) { return std::exp(-seconds / kRateSeconds); }
+
+double ToSeconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+void AddArrivals(TargetDemand *demand, std::uint32_t arrivals,
+                 base::TimePoint now) {
+  if (demand->m_rate_at != base::TimePoint()) {
+    demand->m_rate *= Decay(ToSeconds(now - demand->m_rate_at));
+  }
+  demand->m_rate_at = now;
+  demand->m_rate += arrivals / kRateSeconds;
+}
+
+/** Drops changes that a report made after them must show. */
+void DropReportedChanges(std::map<std::string, base::TimePoint> *changes,
+                         base::TimePoint now) {
+  std::erase_if(*changes, [now](const auto &item) {
+    return now >= item.second + kReportLag;
+  });
+}
+
+bool ReportsModel(const gen::UpstreamReport &report, const std::string &model) {
+  return std::any_of(report.models().begin(), report.models().end(),
+                     [&model](const gen::ResidentModel &held) {
+                       return held.name() == model;
+                     });
+}
+
+/** Ends the order in progress if a report shows its effect. */
+void FinishByReport(RunnerBook *book, const gen::UpstreamReport &report,
+                    base::TimePoint now) {
+  if (!book->m_in_progress || book->m_in_progress->m_model.empty()) return;
+  const OrderInProgress &order = *book->m_in_progress;
+  bool is_held = ReportsModel(report, order.m_model);
+  if (is_held != order.m_is_load) return;
+  if (order.m_is_load) book->m_used[order.m_model] = now;
+  book->m_in_progress.reset();
+}
+
+}  // namespace
+
+void RecordUse(ResidencyPlanner *planner, const gen::UseReport &report,
+               base::TimePoint now) {
+  for (const gen::TargetUse &use : report.uses()) {
+    TargetKey key{use.service(), use.model(), use.adapter()};
+    TargetDemand &demand = planner->m_demands[key];
+    AddArrivals(&demand, use.arrivals(), now);
+    if (use.waiting() == 0) {
+      demand.m_waiting.erase(report.entry());
+    } else {
+      demand.m_waiting[report.entry()] =
+          WaitingReport{use.waiting(), use.rank(), now};
+    }
+    for (const std::string &upstream : use.upstreams()) {
+      auto book = planner->m_books.find(upstream);
+      if (book == planner->m_books.end()) continue;
+      book->second.m_used[MakeTarget(use.model(), use.adapter())] = now;
+      book->second.m_used[use.model()] = now;
+    }
+  }
+}
+
+double GetRate(const ResidencyPlanner &planner, const TargetKey &key,
+               base::TimePoint now) {
+  auto found = planner.m_demands.find(key);
+  if (found == planner.m_demands.end()) return 0;
+  return found->second.m_rate * Decay(ToSeconds(now - found->second.m_rate_at));
+}
+
+std::uint32_t CountWaiting(const TargetDemand &demand, base::TimePoint now) {
+  std::uint32_t waiting = 0;
+  for (const auto &[entry, report] : demand.m_waiting) {
+    if (now < report.m_at + kWaitingLifetime) waiting += report.m_waiting;
+  }
+  return waiting;
+}
+
+std::uint32_t GetWaitingRank(const TargetDemand &demand, base::TimePoint now) {
+  std::uint32_t rank = kLeastUrgentRank;
+  for (const auto &[entry, report] : demand.m_waiting) {
+    if (now < report.m_at + kWaitingLifetime) {
+      rank = std::min(rank, report.m_rank);
+    }
+  }
+  return rank;
+}
+
+void RefreshBook(RunnerBook *book, const UpstreamEntry &entry,
+                 base::TimePoint now) {
+  const gen::UpstreamReport &report = entry.m_report;
+  if (book->m_born_ms != report.born_ms()) {
+    *book = RunnerBook();
+    book->m_born_ms = report.born_ms();
+  }
+  FinishByReport(book, report, now);
+  if (book->m_report_number != report.report_number()) {
+    book->m_report_number = report.report_number();
+    DropReportedChanges(&book->m_loaded, now);
+    DropReportedChanges(&book->m_unloaded, now);
+  }
+  std::erase_if(book->m_refused, [now](const auto &item) {
+    return now >= item.second + kRefusalPause;
+  });
+  if (book->m_in_progress && now >= book->m_in_progress->m_ends_at + kLateBy) {
+    book->m_accepted.reset();
+  }
+}
+
+namespace {
+
+/** Takes in that a runner accepted an order, or had nothing to do. */
+void RecordAccepted(RunnerBook *book, const PlannedOrder &order,
+                    bool was_started, base::TimePoint now) {
+  std::string target = MakeTarget(order.m_model, order.m_adapter);
+  bool is_model = order.m_adapter.empty();
+  if (was_started && book->m_accepted) ++*book->m_accepted;
+  if (was_started && is_model) return;  // the report shows its end
+  if (is_model) book->m_in_progress.reset();
+  if (order.m_is_load) {
+    book->m_unloaded.erase(target);
+    book->m_loaded[target] = now;
+    book->m_used[target] = now;
+    return;
+  }
+  book->m_loaded.erase(target);
+  if (was_started) {
+    // The adapter is still in use and leaves later.
+    book->m_refused[target] = now;
+    return;
+  }
+  book->m_unloaded[target] = now;
+  // An adapter that leaves at once is answered as one that isn't there; only
+  // the first counts as an accepted order.
+  book->m_accepted.reset();
+}
+
+/** Takes back what was assumed when an order was planned. */
+void UndoPlanned(RunnerBook *book, const PlannedOrder &order) {
+  if (order.m_adapter.empty()) book->m_in_progress.reset();
+  if (!order.m_is_load) {
+    book->m_unloaded.erase(MakeTarget(order.m_model, order.m_adapter));
+  }
+}
+
+}  // namespace
+
+void RecordOrderOutcome(ResidencyPlanner *planner, const PlannedOrder &order,
+                        OrderOutcome outcome, base::TimePoint now) {
+  auto found = planner->m_books.find(order.m_upstream);
+  if (found == planner->m_books.end()) return;
+  RunnerBook &book = found->second;
+  book.m_is_calling = false;
+  book.m_in_doubt.reset();
+  switch (outcome) {
+    case OrderOutcome::kStarted:
+      RecordAccepted(&book, order, /*was_started=*/true, now);
+      return;
+    case OrderOutcome::kAlreadyHolds:
+      RecordAccepted(&book, order, /*was_started=*/false, now);
+      return;
+    case OrderOutcome::kConflict:
+      book.m_accepted.reset();
+      book.m_retry_at = now + kConflictPause;
+      break;
+    case OrderOutcome::kRefused:
+      book.m_refused[MakeTarget(order.m_model, order.m_adapter)] = now;
+      book.m_intention.reset();
+      break;
+    case OrderOutcome::kOtherRunner:
+      book.m_accepted.reset();
+      book.m_intention.reset();
+      book.m_retry_at = now + kRefusalPause;
+      break;
+    case OrderOutcome::kUnknown:
+    case OrderOutcome::kEnd:
+      book.m_in_doubt = order;
+      book.m_retry_at = now + kUnknownPause;
+      return;
+  }
+  UndoPlanned(&book, order);
+}
+
+void RecordStatus(ResidencyPlanner *planner, const std::string &upstream,
+                  const StatusFacts &status, base::TimePoint now) {
+  auto found = planner->m_books.find(upstream);
+  if (found == planner->m_books.end()) return;
+  RunnerBook &book = found->second;
+  book.m_is_calling = false;
+  bool is_other_start =
+      status.m_born_ms != 0 && status.m_born_ms != book.m_born_ms;
+  if (!status.m_is_known || is_other_start) {
+    book.m_retry_at = now + kConflictPause;
+    return;
+  }
+  book.m_accepted = status.m_accepted;
+  book.m_retry_at = now;
+  if (status.m_is_busy) {
+    if (!book.m_in_progress) book.m_in_progress = OrderInProgress();
+    book.m_in_progress->m_ends_at = now + kUnknownBusy;
+  } else {
+    book.m_in_progress.reset();
+  }
+}
+
+void ResetBooks(ResidencyPlanner *planner) { planner->m_books.clear(); }
+
+gen::Residency MakeResidency(const RunnerBook &book, const std::string &id) {
+  gen::Residency residency;
+  residency.set_upstream(id);
+  residency.set_born_ms(book.m_born_ms);
+  for (const auto &[target, at] : book.m_loaded) residency.add_loaded(target);
+  for (const auto &[target, at] : book.m_unloaded) {
+    residency.add_unloaded(target);
+  }
+  if (book.m_in_progress && book.m_in_progress->m_is_load &&
+      !book.m_in_progress->m_model.empty()) {
+    residency.add_loading(book.m_in_progress->m_model);
+  }
+  return residency;
+}
+
+std::uint64_t HashResidency(const gen::Residency &residency) {
+  std::string bytes = residency.SerializeAsString();
+  return XXH3_64bits(bytes.data(), bytes.size());
+}
+
+}  // namespace wasabiwind::fleet
--- /dev/null
+++ b/src/fleet/residency_func.h
@@ -0,0 +1,73 @@
+/** @file residency_func.h Which models and adapters runners shall hold.
+ *
+ * The leader of the control hosts plans; the shell sends the orders and tells
+ * the answers. What a runner holds is what it last reported, changed by the
+ * orders that it has accepted since. An order without answer is repeated with
+ * the same number of accepted orders, so that only one of the two can be
+ * carried out.
+ */
+
+#ifndef WASABIWIND_FLEET_RESIDENCY_FUNC_H_
+#define WASABIWIND_FLEET_RESIDENCY_FUNC_H_
+
+#include "fleet/residency_type.h"
+#include "routes/table_func.h"
+
+namespace wasabiwind::fleet {
+
+/** Takes in what an entry host says of its requests. */
+void RecordUse(ResidencyPlanner *planner, const gen::UseReport &report,
+               base::TimePoint now);
+
+/** What to do now. */
+struct ResidencyActions {
+  std::vector<PlannedOrder> m_orders;     ///< at most one a runner
+  std::vector<std::string> m_queries;     ///< runners whose status is needed
+  std::vector<gen::Residency> m_changed;  ///< to publish
+};
+
+/**
+ * Plans the next orders.
+ * @param term leadership of this host; part of the residencies' version
+ */
+ResidencyActions PlanResidency(ResidencyPlanner *planner, const FleetView &view,
+                               const routes::RouteIndex &routes,
+                               std::uint64_t term, base::TimePoint now);
+
+/** How a runner answered an order. */
+enum class OrderOutcome : std::uint8_t {
+  kStarted,
+  kAlreadyHolds,
+  kConflict,
+  kRefused,
+  kOtherRunner,
+  kUnknown,
+  kEnd,
+};
+
+/** Takes in the answer of an order that PlanResidency gave. */
+void RecordOrderOutcome(ResidencyPlanner *planner, const PlannedOrder &order,
+                        OrderOutcome outcome, base::TimePoint now);
+
+/** State that a runner told when asked. */
+struct StatusFacts {
+  bool m_is_known = false;      ///< the runner answered
+  std::uint64_t m_born_ms = 0;  ///< 0 if it didn't say
+  std::uint64_t m_accepted = 0;
+  bool m_is_busy = false;
+};
+
+/** Takes in the answer of a query that PlanResidency asked for. */
+void RecordStatus(ResidencyPlanner *planner, const std::string &upstream,
+                  const StatusFacts &status, base::TimePoint now);
+
+/** Forgets what was known of runners, when another host may have ordered. */
+void ResetBooks(ResidencyPlanner *planner);
+
+/** @return requests a second for a target, as of now. */
+double GetRate(const ResidencyPlanner &planner, const TargetKey &key,
+               base::TimePoint now);
+
+}  // namespace wasabiwind::fleet
+
+#endif  // WASABIWIND_FLEET_RESIDENCY_FUNC_H_
--- /dev/null
+++ b/src/fleet/view.cpp
@@ -0,0 +1,214 @@
+/** @file view.cpp What a host believes of upstreams and entry hosts. */
+
+#include <algorithm>
+#include <utility>
+
+#include "fleet/view_func.h"
+
+namespace wasabiwind::fleet {
+
+namespace {
+
+/** Report number of an upstream that has left. */
+std::pair<std::uint64_t, std::uint64_t> GetVersion(
+    const gen::UpstreamReport &report) {
+  return {report.born_ms(), report.report_number()};
+}
+
+bool IsGone(const gen::UpstreamReport &report) {
+  return report.state() == gen::UPSTREAM_GONE;
+}
+
+/** @return whether a report replaces the one that is known. */
+bool IsNewer(const gen::UpstreamReport &known,
+             const gen::UpstreamReport &report) {
+  if (report.born_ms() != known.born_ms()) {
+    // A leave may name no start; it ends the one that is known.
+    return report.born_ms() > known.born_ms() ||
+           (IsGone(report) && report.born_ms() == 0);
+  }
+  if (IsGone(known) != IsGone(report)) return IsGone(report);
+  return GetVersion(report) > GetVersion(known);
+}
+
+/** Gives an address to the upstream that started last. */
+void ClaimAddress(FleetView *view, const gen::UpstreamReport &report) {
+  if (report.address().empty() || IsGone(report)) return;
+  std::string &owner = view->m_id_by_address[report.address()];
+  auto known = view->m_upstreams.find(owner);
+  bool is_free = owner.empty() || owner == report.id() ||
+                 known == view->m_upstreams.end() ||
+                 IsGone(known->second.m_report) ||
+                 known->second.m_report.address() != report.address() ||
+                 known->second.m_report.born_ms() <= report.born_ms();
+  if (is_free) owner = report.id();
+}
+
+ViewChange ApplyUpstream(FleetView *view, const std::string &publisher,
+                         const gen::UpstreamReport &report,
+                         base::TimePoint now) {
+  auto [found, is_new] = view->m_upstreams.try_emplace(report.id());
+  UpstreamEntry &entry = found->second;
+  ViewChange change{false, report.id()};
+  bool &silence = entry.m_silence[publisher];
+  if (silence != report.is_silent()) change.m_is_changed = true;
+  silence = report.is_silent();
+  if (!is_new && !IsNewer(entry.m_report, report)) return change;
+  std::uint64_t known_born = entry.m_report.born_ms();
+  std::string known_address = entry.m_report.address();
+  bool is_same_start = is_new || report.born_ms() == known_born;
+  entry.m_report = report;
+  if (IsGone(report)) {
+    // A leave names little; what it leaves out is kept.
+    if (report.born_ms() == 0) entry.m_report.set_born_ms(known_born);
+    if (report.address().empty()) entry.m_report.set_address(known_address);
+  }
+  if (!is_same_start && entry.m_residency.born_ms() != report.born_ms()) {
+    entry.m_residency = gen::Residency();
+  }
+  entry.m_publisher = publisher;
+  entry.m_reported_at = now;
+  ClaimAddress(view, entry.m_report);
+  change.m_is_changed = true;
+  return change;
+}
+
+ViewChange ApplyResidency(FleetView *view, const gen::Residency &residency,
+                          base::TimePoint now) {
+  auto found = view->m_upstreams.find(residency.upstream());
+  ViewChange change{false, residency.upstream()};
+  if (found == view->m_upstreams.end()) return change;
+  UpstreamEntry &entry = found->second;
+  if (entry.m_report.born_ms() != residency.born_ms()) return change;
+  auto version = std::make_pair(residency.term(), residency.number());
+  auto known =
+      std::make_pair(entry.m_residency.term(), entry.m_residency.number());
+  if (version < known) return change;
+  change.m_is_changed = version != known;
+  entry.m_residency = residency;
+  entry.m_residency_at = now;
+  return change;
+}
+
+ViewChange ApplyEntry(FleetView *view, const std::string &publisher,
+                      const gen::EntryHost &host) {
+  auto [found, is_new] = view->m_entries.try_emplace(host.name());
+  EntryHostEntry &entry = found->second;
+  entry.m_silence[publisher] = host.is_silent();
+  auto known =
+      std::make_pair(entry.m_host.born_ms(), entry.m_host.report_number());
+  auto version = std::make_pair(host.born_ms(), host.report_number());
+  if (!is_new && version <= known) return ViewChange{};
+  entry.m_host = host;
+  return ViewChange{true, ""};
+}
+
+bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
+              const std::string &item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+bool ReportsTarget(const gen::UpstreamReport &report, const std::string &model,
+                   const std::string &adapter) {
+  for (const gen::ResidentModel &held : report.models()) {
+    if (held.name() != model) continue;
+    return adapter.empty() || Contains(held.adapters(), adapter);
+  }
+  return false;
+}
+
+bool IsResidencyValid(const UpstreamEntry &entry, base::TimePoint now) {
+  return entry.m_residency.term() != 0 &&
+         now < entry.m_residency_at + kResidencyLifetime;
+}
+
+}  // namespace
+
+ViewChange ApplyFact(FleetView *view, const std::string &publisher,
+                     const gen::Fact &fact, base::TimePoint now) {
+  switch (fact.body_case()) {
+    case gen::Fact::kUpstream:
+      return ApplyUpstream(view, publisher, fact.upstream(), now);
+    case gen::Fact::kEntry:
+      return ApplyEntry(view, publisher, fact.entry());
+    case gen::Fact::kControl:
+      view->m_controls[fact.control().name()] = fact.control();
+      return ViewChange{true, ""};
+    case gen::Fact::kResidency:
+      return ApplyResidency(view, fact.residency(), now);
+    case gen::Fact::BODY_NOT_SET:
+      break;
+  }
+  return ViewChange{};
+}
+
+NewsOutcome ApplyNews(FleetView *view, const std::string &publisher,
+                      const gen::News &news, base::TimePoint now) {
+  PublisherState &state = view->m_publishers[publisher];
+  NewsOutcome outcome;
+  state.m_heard_at = now;
+  if (state.m_epoch != news.publisher_epoch()) {
+    state.m_epoch = news.publisher_epoch();
+    state.m_acked_number = 0;
+    outcome.m_is_new_epoch = true;
+  }
+  for (const gen::Fact &fact : news.facts()) {
+    ViewChange change = ApplyFact(view, publisher, fact, now);
+    if (change.m_is_changed && !change.m_upstream.empty()) {
+      outcome.m_changed_upstreams.push_back(std::move(change.m_upstream));
+    }
+  }
+  outcome.m_is_complete = news.first_number() <= state.m_acked_number;
+  if (outcome.m_is_complete) {
+    state.m_acked_number = std::max(state.m_acked_number, news.last_number());
+  }
+  if (news.leader_term() > view->m_leader_term ||
+      (news.leader_term() == view->m_leader_term &&
+       !news.leader_endpoint().empty())) {
+    view->m_leader_term = news.leader_term();
+    view->m_leader_endpoint = news.leader_endpoint();
+  }
+  return outcome;
+}
+
+bool IsSilent(const FleetView &view, const SilenceByPublisher &silence,
+              base::TimePoint now) {
+  for (const auto &[publisher, is_silent] : silence) {
+    if (is_silent) continue;
+    auto found = view.m_publishers.find(publisher);
+    if (found == view.m_publishers.end()) continue;
+    if (now < found->second.m_heard_at + kPublisherTimeout) return false;
+  }
+  return true;
+}
+
+bool IsServing(const FleetView &view, const UpstreamEntry &entry) {
+  if (entry.m_report.state() != gen::UPSTREAM_READY) return false;
+  auto owner = view.m_id_by_address.find(entry.m_report.address());
+  return owner != view.m_id_by_address.end() &&
+         owner->second == entry.m_report.id();
+}
+
+std::string MakeTarget(const std::string &model, const std::string &adapter) {
+  return adapter.empty() ? model : model + "/" + adapter;
+}
+
+bool HasTarget(const UpstreamEntry &entry, const std::string &model,
+               const std::string &adapter, base::TimePoint now) {
+  std::string target = MakeTarget(model, adapter);
+  if (IsResidencyValid(entry, now)) {
+    const gen::Residency &residency = entry.m_residency;
+    if (Contains(residency.unloaded(), model)) return false;
+    if (Contains(residency.unloaded(), target)) return false;
+    if (Contains(residency.loaded(), target)) return true;
+  }
+  return ReportsTarget(entry.m_report, model, adapter);
+}
+
+bool IsLoadingTarget(const UpstreamEntry &entry, const std::string &target,
+                     base::TimePoint now) {
+  return IsResidencyValid(entry, now) &&
+         Contains(entry.m_residency.loading(), target);
+}
+
+}  // namespace wasabiwind::fleet
--- /dev/null
+++ b/src/fleet_control/protocol_type.h
@@ -0,0 +1,84 @@
+/** @file protocol_type.h What a platform adapter translates for control. */
+
+#ifndef WASABIWIND_FLEET_CONTROL_PROTOCOL_TYPE_H_
+#define WASABIWIND_FLEET_CONTROL_PROTOCOL_TYPE_H_
+
+#include <fleet.pb.h>
+#include <routes.pb.h>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "base/error_type.h"
+#include "net/http_type.h"
+
+namespace wasabiwind::fleet_control {
+
+/** An upstream reports its state, or that it leaves. */
+struct ReportCall {
+  gen::UpstreamReport m_report;
+};
+
+/** An operator puts a table in force; the document is the request's body. */
+struct PutTableCall {
+  gen::RouteTable m_table;
+};
+
+/** An operator reads the document in force. */
+struct GetTableCall {};
+
+using ControlCall = std::variant<ReportCall, PutTableCall, GetTableCall>;
+
+/** Order to a runner to load or unload one target. */
+struct RunnerOrder {
+  std::string m_upstream;  ///< runner that must carry it out
+  bool m_is_load = true;
+  std::string m_model;
+  std::string m_adapter;         ///< "" for the model itself
+  std::uint64_t m_expected = 0;  ///< orders that the runner has accepted
+  std::string m_holder;          ///< control host that orders
+  std::uint64_t m_fence = 0;     ///< term of that host's leadership
+};
+
+enum class OrderAnswer : std::uint8_t {
+  kStarted,       ///< accepted, is being carried out
+  kAlreadyHolds,  ///< nothing to do
+  kConflict,      ///< busy, or another number of orders was accepted
+  kStaleFence,
+  kOtherRunner,  ///< the address belongs to another runner now
+  kRefused,      ///< the order can't be carried out
+  kUnknown,      ///< no answer that can be read; it may be carried out yet
+  kEnd,
+};
+
+/** State that a runner tells when asked. */
+struct RunnerStatus {
+  std::uint64_t m_born_ms = 0;
+  std::uint64_t m_accepted_orders = 0;
+  bool m_is_busy = false;
+  std::vector<gen::ResidentModel> m_models;
+  std::set<std::string> m_pending_adapters;  ///< targets MODEL/ADAPTER
+};
+
+/** Translations between the product's types and a platform's messages. */
+struct ControlProtocol {
+  /** @return kNotFound for other calls, kInvalidArgument if unreadable */
+  std::function<base::Result<ControlCall>(const net::HttpRequest &)>
+      m_decode_call;
+  /** @param next_address where the upstream's later reports should go */
+  std::function<net::HttpResponse(const std::string &next_address)>
+      m_encode_report_answer;
+  std::function<net::HttpRequest(const RunnerOrder &)> m_encode_order;
+  std::function<OrderAnswer(const net::HttpResponse &)> m_decode_order_answer;
+  std::function<net::HttpRequest(const std::string &upstream)>
+      m_encode_status_query;
+  std::function<base::Result<RunnerStatus>(const net::HttpResponse &)>
+      m_decode_status;
+};
+
+}  // namespace wasabiwind::fleet_control
+
+#endif  // WASABIWIND_FLEET_CONTROL_PROTOCOL_TYPE_H_
--- /dev/null
+++ b/src/fleet_control/registry.cpp
@@ -0,0 +1,93 @@
+/** @file registry.cpp Reports of upstreams and entry hosts. */
+
+#include "fleet_control/registry.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/log_func.h"
+
+namespace wasabiwind::fleet_control {
+
+Registry::Registry(Publisher *publisher, fleet::Follower *follower,
+                   base::milliseconds heartbeat)
+    : m_publisher(publisher),
+      m_follower(follower),
+      m_upstream_silence(kMissedReports * heartbeat + kSilenceMargin) {}
+
+void Registry::Publish(const gen::Fact &fact, base::TimePoint now) {
+  fleet::ApplyFact(&m_follower->m_view, m_follower->m_own_endpoint, fact, now);
+  m_publisher->Put(fact);
+}
+
+ReportOutcome Registry::RecordUpstream(gen::UpstreamReport report,
+                                       base::TimePoint now) {
+  gen::Fact fact;
+  *fact.mutable_upstream() = std::move(report);
+  const gen::UpstreamReport &given = fact.upstream();
+  fleet::FleetView &view = m_follower->m_view;
+  const std::string &own = m_follower->m_own_endpoint;
+  auto known = view.m_upstreams.find(given.id());
+  bool was_elsewhere =
+      known != view.m_upstreams.end() && known->second.m_publisher != own;
+  fleet::ViewChange change = fleet::ApplyFact(&view, own, fact, now);
+  const fleet::UpstreamEntry &entry = view.m_upstreams.at(given.id());
+  bool is_current =
+      entry.m_report.born_ms() == given.born_ms() ||
+      (given.born_ms() == 0 && given.state() == gen::UPSTREAM_GONE);
+  is_current =
+      is_current && (given.state() == gen::UPSTREAM_GONE ||
+                     entry.m_report.report_number() == given.report_number());
+  if (!is_current) return ReportOutcome::kLate;
+  m_heard[fleet::GetFactKey(fact)] = now;
+  *fact.mutable_upstream() = entry.m_report;
+  fact.mutable_upstream()->set_is_silent(false);
+  bool is_published =
+      was_elsewhere ? m_publisher->PutAgain(fact) : m_publisher->Put(fact);
+  if (!is_published && !change.m_is_changed) return ReportOutcome::kUnchanged;
+  return is_published ? ReportOutcome::kChanged : ReportOutcome::kUnchanged;
+}
+
+void Registry::RecordEntry(gen::EntryHost entry, base::TimePoint now) {
+  gen::Fact fact;
+  *fact.mutable_entry() = std::move(entry);
+  fact.mutable_entry()->set_is_silent(false);
+  m_heard[fleet::GetFactKey(fact)] = now;
+  Publish(fact, now);
+}
+
+void Registry::RecordControl(const gen::ControlHost &control,
+                             base::TimePoint now) {
+  gen::Fact fact;
+  *fact.mutable_control() = control;
+  Publish(fact, now);
+}
+
+void Registry::MarkSilent(const gen::Fact &fact, base::TimePoint now) {
+  gen::Fact silent = fact;
+  if (silent.has_upstream()) silent.mutable_upstream()->set_is_silent(true);
+  if (silent.has_entry()) silent.mutable_entry()->set_is_silent(true);
+  base::LogEvent(base::LogLevel::kInfo, "fell_silent",
+                 {{"key", fleet::GetFactKey(fact)}});
+  Publish(silent, now);
+}
+
+void Registry::Tick(base::TimePoint now) {
+  // Facts of this host count as those of a publisher in touch.
+  m_follower->m_view.m_publishers[m_follower->m_own_endpoint].m_heard_at = now;
+  std::vector<gen::Fact> silent;
+  for (const auto &[key, published] : m_publisher->GetLog().m_facts) {
+    const gen::Fact &fact = published.m_fact;
+    bool is_silent = fact.upstream().is_silent() || fact.entry().is_silent();
+    bool is_gone =
+        fact.has_upstream() && fact.upstream().state() == gen::UPSTREAM_GONE;
+    auto heard = m_heard.find(key);
+    if (heard == m_heard.end() || is_silent || is_gone) continue;
+    base::milliseconds limit =
+        fact.has_upstream() ? m_upstream_silence : kEntrySilence;
+    if (now >= heard->second + limit) silent.push_back(fact);
+  }
+  for (const gen::Fact &fact : silent) MarkSilent(fact, now);
+}
+
+}  // namespace wasabiwind::fleet_control
--- /dev/null
+++ b/src/fleet_control/route_machine.h
@@ -0,0 +1,49 @@
+/** @file route_machine.h Replicated state: the route table in force. */
+
+#ifndef WASABIWIND_FLEET_CONTROL_ROUTE_MACHINE_H_
+#define WASABIWIND_FLEET_CONTROL_ROUTE_MACHINE_H_
+
+#include <routes.pb.h>
+
+#include <functional>
+#include <string>
+
+#include "control/state_machine.h"
+
+namespace wasabiwind::fleet_control {
+
+/**
+ * @return the document in a compressed form
+ * @return kInternal if the library fails
+ */
+base::Result<std::string> CompressDocument(const std::string &document);
+
+/** @return the document, or kCorrupt. */
+base::Result<std::string> ExpandDocument(const gen::StoredRouteTable &stored);
+
+/** The table with the highest version. Used by one thread. */
+class RouteMachine : public control::LogMachine {
+ public:
+  /** @param on_change called after the table in force has changed */
+  explicit RouteMachine(std::function<void()> on_change)
+      : m_on_change(std::move(on_change)) {}
+
+  /**
+   * Puts a table in force if its version is higher. Others change nothing and
+   * succeed as well, so that a resent command has the same outcome.
+   */
+  control::CommandOutcome Apply(const std::string &command) override;
+  std::function<std::string()> PrepareSnapshot() const override;
+  base::Result<void> Restore(const std::string &bytes) override;
+
+  const gen::StoredRouteTable &GetStored() const { return m_stored; }
+  std::uint64_t GetVersion() const { return m_stored.table().version(); }
+
+ private:
+  std::function<void()> m_on_change;
+  gen::StoredRouteTable m_stored;
+};
+
+}  // namespace wasabiwind::fleet_control
+
+#endif  // WASABIWIND_FLEET_CONTROL_ROUTE_MACHINE_H_
--- /dev/null
+++ b/src/fleet_control/server.cpp
@@ -0,0 +1,513 @@
+/** @file server.cpp The control program for declared routes. */
+
+#include "fleet_control/server.h"
+
+#include <absl/flags/flag.h>
+#include <envelope.pb.h>
+#include <fleet_settings.pb.h>
+#include <fmt/format.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <cstdio>
+
+#include "base/log_func.h"
+#include "base/metrics_func.h"
+#include "base/settings_func.h"
+#include "fleet/host_list_func.h"
+#include "fleet_control/group.h"
+#include "fleet_control/placer.h"
+#include "fleet_control/publisher.h"
+#include "fleet_control/registry.h"
+#include "fleet_control/route_machine.h"
+#include "net/fiber_scheduler.h"
+#include "net/message_transport.h"
+#include "net/program_func.h"
+#include "net/settings_watch.h"
+
+namespace wasabiwind::fleet_control {
+
+namespace {
+
+using base::LogEvent;
+using base::LogLevel;
+
+constexpr std::uint32_t kEnvelopeVersion = 1;
+/** Large enough for a table with tens of thousands of routes. */
+constexpr std::size_t kMaxMessageBytes = 8 << 20;
+constexpr std::size_t kMaxDocumentBytes = 16 << 20;
+constexpr base::milliseconds kTick{100};
+/** Callers move on after a second, so a later answer would be lost. */
+constexpr base::milliseconds kCallTimeout{900};
+/** An upstream that leaves is acknowledged after this long at the latest. */
+constexpr base::milliseconds kLeaveTimeout{700};
+constexpr base::milliseconds kRetryAfter{200};
+
+net::HttpResponse MakeRefusal(int status, const base::Error &error) {
+  net::HttpResponse response =
+      net::MakeJsonResponse(status, base::FormatErrorJson(error));
+  if (status == 503) {
+    response.m_headers.Add("Retry-After",
+                           fmt::format("{:.1f}", kRetryAfter.count() / 1000.0));
+  }
+  return response;
+}
+
+/** All parts of the running program. Used by one fiber thread. */
+class FleetControl {
+ public:
+  FleetControl(gen::FleetControlSettings settings,
+               const ControlProtocol *protocol);
+
+  base::Result<void> Start();
+  void RunUntilStopSignal(net::SettingsWatch *watch);
+
+  /** Takes over what may change while the program runs. */
+  void Reload(const gen::FleetControlSettings &settings);
+
+ private:
+  Group::Hooks MakeGroupHooks();
+  Placer::Hooks MakePlacerHooks();
+  void Handle(const net::HttpRequest &request, net::HttpExchange &exchange);
+  net::HttpResponse HandleReport(const gen::UpstreamReport &report);
+  net::HttpResponse HandlePut(const net::HttpRequest &request,
+                              const gen::RouteTable &table);
+  net::HttpResponse HandleGet(const net::HttpRequest &request);
+  std::optional<net::HttpResponse> PassToLeader(
+      const net::HttpRequest &request) const;
+  net::HttpResponse StoreTable(const net::HttpRequest &request,
+                               const gen::RouteTable &table);
+  std::string ChooseReportAddress(const std::string &domain) const;
+  void Send(const std::string &to, gen::Envelope envelope);
+  void SendFleet(const std::string &to, const gen::FleetMessage &message);
+  void Receive(const std::string &message);
+  void HandleFleet(const std::string &from, const gen::FleetMessage &message);
+  void HandleNews(const std::string &from, const gen::News &news);
+  void AdoptTable();
+  void RunTicks();
+
+  gen::FleetControlSettings m_settings;
+  const ControlProtocol *m_protocol;
+  gen::ControlHost m_self;
+  fleet::Follower m_follower;
+  RouteMachine m_machine;
+  routes::RouteIndexPtr m_routes;
+  std::unique_ptr<net::MessageTransport> m_transport;
+  std::unique_ptr<Publisher> m_publisher;
+  std::unique_ptr<Registry> m_registry;
+  std::unique_ptr<Group> m_group;
+  std::unique_ptr<Placer> m_placer;
+  std::unique_ptr<net::HttpServer> m_server;
+  std::unique_ptr<net::HttpServer> m_admin;
+  bool m_is_stopped = false;
+};
+
+FleetControl::FleetControl(gen::FleetControlSettings settings,
+                           const ControlProtocol *protocol)
+    : m_settings(std::move(settings)),
+      m_protocol(protocol),
+      m_machine([this] { AdoptTable(); }),
+      m_routes(routes::MakeRouteIndex(gen::RouteTable())) {
+  m_self.set_name(m_settings.group().listen());
+  m_self.set_endpoint(m_settings.network().message_address());
+  m_self.set_operators_address(m_settings.group().listen());
+  m_self.set_domain(m_settings.node().domain());
+  m_follower.m_own_endpoint = m_self.endpoint();
+  *m_follower.m_self.mutable_control() = m_self;
+  Reload(m_settings);
+}
+
+void FleetControl::Reload(const gen::FleetControlSettings &settings) {
+  m_follower.m_seeds.clear();
+  for (const std::string &host :
+       fleet::ParseHostList(settings.network().control_hosts())) {
+    m_follower.m_seeds.insert(
+        fleet::MakeMessageEndpoint(host, settings.network().message_port()));
+  }
+}
+
+Group::Hooks FleetControl::MakeGroupHooks() {
+  Group::Hooks hooks;
+  hooks.m_send = [this](const std::string &to,
+                        const gen::ReplicaMessage &message) {
+    gen::Envelope envelope;
+    *envelope.mutable_replica() = message;
+    Send(to, std::move(envelope));
+  };
+  hooks.m_send_fleet = [this](const std::string &to,
+                              const gen::FleetMessage &message) {
+    SendFleet(to, message);
+  };
+  hooks.m_list_peers = [this] { return fleet::ListPublishers(m_follower); };
+  hooks.m_on_leader_change = [this] { m_publisher->AnnounceHeader(); };
+  return hooks;
+}
+
+Placer::Hooks FleetControl::MakePlacerHooks() {
+  Placer::Hooks hooks;
+  hooks.m_may_order = [this](base::TimePoint now) {
+    return m_group->MayOrder(now);
+  };
+  hooks.m_get_term = [this] { return m_group->GetTerm(); };
+  hooks.m_get_routes = [this] { return m_routes; };
+  hooks.m_get_view = [this]() -> const fleet::FleetView & {
+    return m_follower.m_view;
+  };
+  hooks.m_publish = [this](gen::Residency residency) {
+    gen::Fact fact;
+    *fact.mutable_residency() = std::move(residency);
+    m_registry->Publish(fact, base::Clock::now());
+  };
+  return hooks;
+}
+
+base::Result<void> FleetControl::Start() {
+  base::Result<net::Endpoint> messages =
+      net::ParseEndpoint(m_settings.network().message_address());
+  if (!messages) return tl::unexpected(messages.error());
+  net::MessageTransportOptions transport;
+  transport.m_listen = *messages;
+  transport.m_max_message_bytes = kMaxMessageBytes;
+  m_transport = std::make_unique<net::MessageTransport>(transport);
+  if (base::Result<void> done = m_transport->Listen(); !done) return done;
+  m_publisher = std::make_unique<Publisher>(
+      [this](const std::string &to, const gen::FleetMessage &message) {
+        SendFleet(to, message);
+      },
+      [this] {
+        return NewsHeader{m_machine.GetVersion(), m_group->GetTerm(),
+                          m_group->GetLeader().empty()
+                              ? ""
+                              : m_group->GetEndpoint(m_group->GetLeader())};
+      },
+      [this]() -> const gen::RouteTable & {
+        return m_machine.GetStored().table();
+      });
+  m_registry = std::make_unique<Registry>(
+      m_publisher.get(), &m_follower,
+      base::milliseconds(m_settings.bounds().heartbeat_ms()));
+  m_group = std::make_unique<Group>(m_settings, &m_machine, MakeGroupHooks());
+  fleet::ResidencySettings residency;
+  residency.m_load_window =
+      base::milliseconds(m_settings.bounds().load_window_ms());
+  m_placer = std::make_unique<Placer>(m_settings.node().name(), residency,
+                                      m_protocol, MakePlacerHooks());
+  m_registry->RecordControl(m_self, base::Clock::now());
+  base::Result<net::Endpoint> listen =
+      net::ParseEndpoint(m_settings.group().listen());
+  if (!listen) return tl::unexpected(listen.error());
+  net::HttpServerOptions options;
+  options.m_listen = *listen;
+  options.m_max_body_bytes = kMaxDocumentBytes;
+  m_server = std::make_unique<net::HttpServer>(
+      options,
+      [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
+        Handle(request, exchange);
+      });
+  if (base::Result<void> done = m_server->Listen(); !done) return done;
+  net::AdminHooks hooks;
+  hooks.m_check_ready = [this]() -> std::string {
+    return m_group->GetLeader().empty() ? "no leader is known" : "";
+  };
+  auto admin = net::StartAdminServer(m_settings.admin(), hooks);
+  if (!admin) return tl::unexpected(admin.error());
+  m_admin = std::move(*admin);
+  return {};
+}
+
+void FleetControl::AdoptTable() {
+  m_routes = routes::MakeRouteIndex(m_machine.GetStored().table());
+  m_follower.m_routes_version = m_machine.GetVersion();
+  LogEvent(LogLevel::kInfo, "routes_in_force",
+           {{"version", m_machine.GetVersion()},
+            {"routes", m_routes->m_table.routes_size()}});
+  m_publisher->AnnounceHeader();
+}
+
+void FleetControl::Send(const std::string &to, gen::Envelope envelope) {
+  base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
+  if (!endpoint) {
+    LogEvent(LogLevel::kWarn, "endpoint_unreadable", {{"endpoint", to}});
+    return;
+  }
+  envelope.set_version(kEnvelopeVersion);
+  envelope.set_from(m_self.endpoint());
+  envelope.set_from_node(m_settings.node().name());
+  (void)m_transport->Send(*endpoint, envelope.SerializeAsString());
+}
+
+void FleetControl::SendFleet(const std::string &to,
+                             const gen::FleetMessage &message) {
+  gen::Envelope envelope;
+  *envelope.mutable_fleet() = message;
+  Send(to, std::move(envelope));
+}
+
+void FleetControl::Receive(const std::string &message) {
+  gen::Envelope envelope;
+  if (!envelope.ParseFromString(message) ||
+      envelope.version() != kEnvelopeVersion) {
+    static prometheus::Counter &unknown =
+        base::GetCounter("ww_control_messages_unknown_total",
+                         "Messages of another version or for another program");
+    unknown.Increment();
+    return;
+  }
+  if (envelope.has_replica()) {
+    m_group->Receive(std::move(*envelope.mutable_replica()));
+  } else if (envelope.has_fleet()) {
+    HandleFleet(envelope.from(), envelope.fleet());
+  }
+}
+
+void FleetControl::HandleFleet(const std::string &from,
+                               const gen::FleetMessage &message) {
+  base::TimePoint now = base::Clock::now();
+  switch (message.body_case()) {
+    case gen::FleetMessage::kFollow:
+      if (message.follow().has_entry()) {
+        m_registry->RecordEntry(message.follow().entry(), now);
+      }
+      if (message.follow().has_control()) {
+        m_registry->RecordControl(message.follow().control(), now);
+      }
+      m_publisher->HandleFollow(from, message.follow(), now);
+      return;
+    case gen::FleetMessage::kNews:
+      HandleNews(from, message.news());
+      return;
+    case gen::FleetMessage::kUse:
+      m_placer->HandleUse(message.use(), now);
+      return;
+    case gen::FleetMessage::kJoin:
+      m_group->HandleJoin(message.join(), now);
+      return;
+    case gen::FleetMessage::BODY_NOT_SET:
+      return;
+  }
+}
+
+void FleetControl::HandleNews(const std::string &from, const gen::News &news) {
+  // The table of a control host comes from the log alone.
+  gen::News without_routes = news;
+  without_routes.clear_routes();
+  without_routes.set_routes_version(0);
+  fleet::NewsResult result =
+      fleet::HandleNews(&m_follower, from, without_routes, base::Clock::now());
+  for (const fleet::OutMessage &out : result.m_messages) {
+    SendFleet(out.m_to, out.m_message);
+  }
+  if (!result.m_changed_upstreams.empty()) m_placer->Wake();
+}
+
+std::string FleetControl::ChooseReportAddress(const std::string &domain) const {
+  const fleet::FleetView &view = m_follower.m_view;
+  if (domain == m_self.domain()) return m_self.operators_address();
+  base::TimePoint now = base::Clock::now();
+  for (const auto &[name, control] : view.m_controls) {
+    if (control.domain() != domain) continue;
+    auto heard = view.m_publishers.find(control.endpoint());
+    bool is_in_touch =
+        heard != view.m_publishers.end() &&
+        now < heard->second.m_heard_at + 2 * fleet::kFollowPeriod;
+    if (is_in_touch) return control.operators_address();
+  }
+  return m_self.operators_address();
+}
+
+net::HttpResponse FleetControl::HandleReport(
+    const gen::UpstreamReport &report) {
+  base::TimePoint now = base::Clock::now();
+  ReportOutcome outcome = m_registry->RecordUpstream(report, now);
+  bool is_leaving = report.state() != gen::UPSTREAM_READY;
+  if (outcome == ReportOutcome::kChanged) {
+    LogEvent(LogLevel::kInfo, "upstream_changed",
+             {{"upstream", report.id()},
+              {"born_ms", report.born_ms()},
+              {"report", report.report_number()},
+              {"state", gen::UpstreamState_Name(report.state())},
+              {"address", report.address()},
+              {"models", report.models_size()}});
+    m_placer->Wake();
+  }
+  if (is_leaving && outcome != ReportOutcome::kLate) {
+    bool is_known = m_publisher->WaitForFollowers(now + kLeaveTimeout);
+    LogEvent(is_known ? LogLevel::kInfo : LogLevel::kWarn, "leave_acknowledged",
+             {{"upstream", report.id()},
+              {"known_everywhere", is_known},
+              {"took_ms", base::ToMilliseconds(base::Clock::now() - now)}});
+  }
+  return m_protocol->m_encode_report_answer(
+      ChooseReportAddress(report.domain()));
+}
+
+/** @return an answer that names the leader, unless this host leads. */
+std::optional<net::HttpResponse> FleetControl::PassToLeader(
+    const net::HttpRequest &request) const {
+  std::string leader = m_group->GetLeader();
+  if (leader == m_self.operators_address()) return std::nullopt;
+  if (leader.empty()) {
+    return MakeRefusal(
+        503, base::Error{base::ErrorKind::kUnavailable, "no leader is known",
+                         "try again, or another control host"});
+  }
+  net::HttpResponse response;
+  response.m_status = 307;
+  response.m_headers.Add("Location", "http://" + leader + request.m_target);
+  return response;
+}
+
+net::HttpResponse FleetControl::StoreTable(const net::HttpRequest &request,
+                                           const gen::RouteTable &table) {
+  gen::PutRouteTableCommand command;
+  *command.mutable_stored()->mutable_table() = table;
+  base::Result<std::string> packed = CompressDocument(request.m_body);
+  if (!packed) return MakeRefusal(503, packed.error());
+  command.mutable_stored()->set_source(std::move(*packed));
+  command.mutable_stored()->set_source_bytes(request.m_body.size());
+  base::TimePoint now = base::Clock::now();
+  base::Result<void> done;
+  if (table.version() <= m_machine.GetVersion()) {
+    // It changes nothing, but only a leader may say so.
+    done = m_group->ConfirmRead(now + kCallTimeout);
+  } else {
+    auto outcome =
+        m_group->Execute(command.SerializeAsString(), now + kCallTimeout);
+    if (!outcome) done = tl::unexpected(outcome.error());
+  }
+  LogEvent(LogLevel::kInfo, "table_put",
+           {{"version", table.version()},
+            {"in_force", m_machine.GetVersion()},
+            {"error", done ? "" : done.error().ToString()},
+            {"took_ms", base::ToMilliseconds(base::Clock::now() - now)}});
+  if (!done) return MakeRefusal(503, done.error());
+  return net::MakeJsonResponse(200, "{}");
+}
+
+net::HttpResponse FleetControl::HandlePut(const net::HttpRequest &request,
+                                          const gen::RouteTable &table) {
+  if (base::Result<void> valid = routes::CheckRouteTable(table); !valid) {
+    LogEvent(
+        LogLevel::kInfo, "table_refused",
+        {{"version", table.version()}, {"error", valid.error().ToString()}});
+    return MakeRefusal(400, valid.error());
+  }
+  if (auto passed = PassToLeader(request)) return *passed;
+  return StoreTable(request, table);
+}
+
+net::HttpResponse FleetControl::HandleGet(const net::HttpRequest &request) {
+  if (auto passed = PassToLeader(request)) return *passed;
+  base::Result<void> done =
+      m_group->ConfirmRead(base::Clock::now() + kCallTimeout);
+  if (done && m_machine.GetVersion() == 0) {
+    done = base::MakeError(base::ErrorKind::kUnavailable,
+                           "nothing is declared yet", "put a table first");
+  }
+  if (!done) return MakeRefusal(503, done.error());
+  base::Result<std::string> document = ExpandDocument(m_machine.GetStored());
+  if (!document) return MakeRefusal(503, document.error());
+  return net::MakeJsonResponse(200, std::move(*document));
+}
+
+void FleetControl::Handle(const net::HttpRequest &request,
+                          net::HttpExchange &exchange) {
+  base::Result<ControlCall> call = m_protocol->m_decode_call(request);
+  net::HttpResponse response;
+  if (!call) {
+    bool is_unknown = call.error().m_kind == base::ErrorKind::kNotFound;
+    LogEvent(
+        LogLevel::kInfo, "call_refused",
+        {{"target", request.m_target}, {"error", call.error().ToString()}});
+    response = MakeRefusal(is_unknown ? 404 : 400, call.error());
+  } else if (const auto *report = std::get_if<ReportCall>(&*call)) {
+    response = HandleReport(report->m_report);
+  } else if (const auto *put = std::get_if<PutTableCall>(&*call)) {
+    response = HandlePut(request, put->m_table);
+  } else {
+    response = HandleGet(request);
+  }
+  (void)exchange.Respond(response);
+}
+
+void FleetControl::RunTicks() {
+  while (!m_is_stopped) {
+    base::TimePoint now = base::Clock::now();
+    for (const fleet::OutMessage &out : fleet::TickFollower(&m_follower, now)) {
+      SendFleet(out.m_to, out.m_message);
+    }
+    m_registry->Tick(now);
+    net::SleepFor(kTick);
+  }
+}
+
+void FleetControl::RunUntilStopSignal(net::SettingsWatch *watch) {
+  boost::fibers::fiber transport([this] {
+    m_transport->Run([this](const std::string &message) { Receive(message); });
+  });
+  boost::fibers::fiber server([this] { m_server->Serve(); });
+  boost::fibers::fiber admin([this] { m_admin->Serve(); });
+  boost::fibers::fiber group([this] { m_group->Run(); });
+  boost::fibers::fiber publisher([this] { m_publisher->Run(); });
+  boost::fibers::fiber placer([this] { m_placer->Run(); });
+  boost::fibers::fiber ticks([this] { RunTicks(); });
+  boost::fibers::fiber settings([watch] { watch->Run(); });
+  LogEvent(LogLevel::kInfo, "started",
+           {{"host", m_self.operators_address()},
+            {"first_start", m_settings.group().is_first_start()}});
+  net::WaitForStopSignal([watch] { watch->Check(); });
+  LogEvent(LogLevel::kInfo, "stopping");
+  m_is_stopped = true;
+  watch->Stop();
+  m_placer->Stop();
+  m_publisher->Stop();
+  m_server->Stop();
+  m_admin->Stop();
+  m_group->Stop();
+  m_transport->Stop();
+  placer.join();
+  publisher.join();
+  settings.join();
+  ticks.join();
+  group.join();
+  transport.join();
+  server.join();
+  admin.join();
+  LogEvent(LogLevel::kInfo, "stopped");
+}
+
+}  // namespace
+
+int RunFleetControl(int argc, char **argv, const std::string &name,
+                    const ControlProtocol &protocol) {
+  gen::FleetControlSettings settings;
+  net::ProgramInfo info{name, "keeps declared routes and knows upstreams"};
+  if (auto code = net::InitializeProgram(argc, argv, info, &settings)) {
+    return *code;
+  }
+  auto log = base::InitializeLog(name, settings.log().level());
+  if (!log) {
+    std::fprintf(stderr, "%s\n", log.error().ToString().c_str());
+    return 2;
+  }
+  FleetControl control(settings, &protocol);
+  if (base::Result<void> started = control.Start(); !started) {
+    LogEvent(LogLevel::kError, "start_failed",
+             {{"error", started.error().ToString()}});
+    base::ShutDownLog();
+    return 1;
+  }
+  net::RunFiberThread([&] {
+    net::SettingsWatch watch(
+        net::GetSettingsPath(), [&control](const std::string &path) {
+          gen::FleetControlSettings changed;
+          base::Result<void> loaded = base::LoadSettings(path, &changed);
+          if (loaded) control.Reload(changed);
+          return loaded;
+        });
+    control.RunUntilStopSignal(&watch);
+  });
+  base::ShutDownLog();
+  return 0;
+}
+
+}  // namespace wasabiwind::fleet_control
--- /dev/null
+++ b/src/gateway/attempt.cpp
@@ -0,0 +1,318 @@
+/** @file attempt.cpp One attempt at one upstream. */
+
+#include <algorithm>
+
+#include "base/log_func.h"
+#include "gateway/gateway_internal.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+using base::LogEvent;
+using base::LogLevel;
+
+/** Longest time for a request's bytes to leave. */
+constexpr base::milliseconds kSendTimeout{1'500};
+constexpr std::size_t kMostBodyBytes = 16 << 20;
+/** An answer is late after this many times the expected time... */
+constexpr int kLateFactor = 4;
+/** ...and at least this long, so that short waits don't count. */
+constexpr base::milliseconds kLeastLate{400};
+/** A stream has stalled after this many of its route's longest pauses. */
+constexpr int kStallFactor = 3;
+constexpr base::milliseconds kLeastStall{1'200};
+constexpr double kFailureWeight = 1.0;
+constexpr double kRefusedWeight = 0.5;
+
+void EndAttempt(RequestScope *scope, AttemptEnd end, const char *reason) {
+  scope->m_end = end;
+  scope->m_reason = reason;
+}
+
+/** Ends an attempt whose connection failed while it waited. */
+void EndFailedRead(RequestScope *scope, const base::Error &error) {
+  if (scope->m_is_caller_gone) {
+    EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+  } else if (error.m_kind == base::ErrorKind::kTimeout) {
+    EndAttempt(scope, AttemptEnd::kTimedOut, "timeout");
+  } else {
+    EndAttempt(scope, AttemptEnd::kUnknown, "connection_lost");
+  }
+}
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+
+/** @return whether a status promises that a request never runs. */
+bool IsPromise(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+}  // namespace
+
+/** Counts an attempt at its upstream while it lasts. */
+void Gateway::RunAttempt(RequestScope *scope, const Choice &choice) {
+  scope->m_upstream = choice.m_upstream;
+  scope->m_sent_at = base::Clock::now();
+  scope->m_cutter = EventCutter();
+  UpstreamStats &before = m_stats[choice.m_upstream];
+  ++before.m_in_flight;
+  before.m_unread_tokens += choice.m_unread_tokens;
+  SendAndRelay(scope, choice);
+  scope->m_call = nullptr;
+  UpstreamStats &after = m_stats[choice.m_upstream];
+  after.m_in_flight = std::max(0, after.m_in_flight - 1);
+  after.m_unread_tokens -=
+      std::min<std::uint64_t>(after.m_unread_tokens, choice.m_unread_tokens);
+  if (scope->m_end == AttemptEnd::kAnswered) return;
+  LogEvent(LogLevel::kInfo, "attempt_failed",
+           {{"request", scope->m_facts.m_id},
+            {"upstream", choice.m_upstream},
+            {"reason", scope->m_reason},
+            {"may_have_run", scope->m_end != AttemptEnd::kNotRun},
+            {"head_sent", scope->m_is_head_sent},
+            {"took_ms",
+             base::ToMilliseconds(base::Clock::now() - scope->m_sent_at)}});
+}
+
+void Gateway::SendAndRelay(RequestScope *scope, const Choice &choice) {
+  base::TimePoint now = base::Clock::now();
+  base::Result<net::Endpoint> endpoint = net::ParseEndpoint(choice.m_address);
+  if (!endpoint) {
+    EndAttempt(scope, AttemptEnd::kNotRun, "address_unreadable");
+    return;
+  }
+  ForwardFacts facts;
+  facts.m_remaining =
+      std::chrono::duration_cast<base::milliseconds>(GetRemaining(*scope, now));
+  facts.m_upstream = choice.m_upstream;
+  if (scope->m_service->has_engine()) facts.m_rank = scope->m_route->rank();
+  facts.m_last_event = scope->m_last_event
+                           ? std::to_string(*scope->m_last_event)
+                           : scope->m_facts.m_last_event;
+  net::HttpRequest request;
+  request.m_method = scope->m_request->m_method;
+  request.m_target = scope->m_request->m_target;
+  request.m_headers = m_protocol->m_make_headers(*scope->m_request, facts);
+  request.m_body = scope->m_request->m_body;
+  // On a kept connection that its peer has just closed, nobody knows whether
+  // the request was read.
+  auto reuse = routes::IsRepeatable(*scope->m_route)
+                   ? net::HttpClientPool::Reuse::kPooled
+                   : net::HttpClientPool::Reuse::kFresh;
+  net::HttpClientPool::StartResult start =
+      m_client->Start(*endpoint, request,
+                      std::min(scope->m_deadline, now + kSendTimeout), reuse);
+  if (start.m_call == nullptr) {
+    bool is_not_run = start.m_send_state == net::SendState::kNothingSent;
+    RecordUnreachable(&m_stats[choice.m_upstream], base::Clock::now());
+    m_client->CloseIdle(*endpoint);
+    if (!is_not_run) ++scope->m_sends;
+    EndAttempt(scope, is_not_run ? AttemptEnd::kNotRun : AttemptEnd::kUnknown,
+               is_not_run ? "no_connection" : "send_failed");
+    return;
+  }
+  ++scope->m_sends;
+  if (scope->m_service->has_engine() && !scope->m_facts.m_model.empty()) {
+    bool has_adapter = !scope->m_facts.m_adapter.empty();
+    GetCounts(*scope, has_adapter).m_upstreams.insert(choice.m_upstream);
+  }
+  scope->m_call = start.m_call.get();
+  if (scope->m_is_caller_gone) {
+    EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+    return;
+  }
+  net::HttpResponse head;
+  if (!AwaitHead(scope, choice, start.m_call.get(), &head)) return;
+  bool is_stream = scope->m_route->kind() == gen::ROUTE_STREAM;
+  if (is_stream && IsSuccess(head.m_status)) {
+    RelayStream(scope, choice, start.m_call.get(), head);
+  } else {
+    RelayWhole(scope, choice, start.m_call.get(), std::move(head));
+  }
+}
+
+bool Gateway::HasAlternative(const RequestScope &scope, const Choice &choice) {
+  ChoiceRequest request = MakeChoiceRequest(scope);
+  request.m_excluded.insert(choice.m_upstream);
+  Choice other = ChooseUpstream(m_follower.m_view, &m_stats, m_location,
+                                request, base::Clock::now());
+  return other.m_problem == ChoiceProblem::kNone && !other.m_is_silent;
+}
+
+/** Reads the head of the answer. @return false if the attempt has ended */
+bool Gateway::AwaitHead(RequestScope *scope, const Choice &choice,
+                        net::HttpCall *call, net::HttpResponse *head) {
+  base::milliseconds late =
+      std::max(kLeastLate, choice.m_expected * kLateFactor);
+  bool may_move =
+      routes::IsRepeatable(*scope->m_route) && HasAlternative(*scope, choice);
+  base::TimePoint limit =
+      may_move ? std::min(scope->m_deadline, base::Clock::now() + late)
+               : scope->m_deadline;
+  base::Result<net::HttpResponse> answer = call->ReadHead(limit);
+  bool is_late = !answer && limit < scope->m_deadline &&
+                 answer.error().m_kind == base::ErrorKind::kTimeout;
+  UpstreamStats &stats = m_stats[choice.m_upstream];
+  if (!answer) {
+    EndFailedRead(scope, answer.error());
+    if (is_late) EndAttempt(scope, AttemptEnd::kUnknown, "late");
+    if (scope->m_end != AttemptEnd::kCallerGone) {
+      RecordFailure(&stats, kFailureWeight, base::Clock::now());
+    }
+    return false;
+  }
+  AnswerFacts facts =
+      m_protocol->m_decode_answer(*answer, scope->m_facts, choice.m_upstream);
+  if (facts.m_is_own && facts.m_is_not_run) {
+    RecordFailure(&stats, kRefusedWeight, base::Clock::now());
+    if (facts.m_is_other_upstream) {
+      RecordUnreachable(&stats, base::Clock::now());
+    }
+    EndAttempt(scope, AttemptEnd::kNotRun,
+               facts.m_is_other_upstream ? "address_reused"
+               : facts.m_is_misdirected  ? "misdirected"
+                                         : "upstream_refused");
+    return false;
+  }
+  bool is_foreign = !facts.m_is_own || facts.m_is_encoded ||
+                    (IsSuccess(answer->m_status) && !facts.m_is_signed);
+  if (is_foreign) {
+    call->Discard();
+    RecordFailure(&stats, kFailureWeight, base::Clock::now());
+    EndAttempt(scope, AttemptEnd::kUnknown, "foreign_answer");
+    return false;
+  }
+  *head = std::move(*answer);
+  return true;
+}
+
+/**
+ * Passes whole events on.
+ * @return false if the attempt has ended
+ */
+bool Gateway::ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
+                            const std::string &bytes) {
+  std::vector<StreamEvent> events;
+  if (!CutEvents(&scope->m_cutter, bytes, &events)) {
+    EndAttempt(scope, AttemptEnd::kUnknown, "event_too_long");
+    return false;
+  }
+  std::string text;
+  std::optional<std::uint64_t> last = scope->m_last_event;
+  for (const StreamEvent &event : events) {
+    if (event.m_id && last) {
+      if (*event.m_id <= *last) continue;
+      if (*event.m_id != *last + 1) {
+        EndAttempt(scope, AttemptEnd::kUnknown, "event_missing");
+        return false;
+      }
+    }
+    if (event.m_id) last = event.m_id;
+    text += event.m_text;
+  }
+  if (text.empty()) return true;
+  base::Result<void> sent;
+  if (!scope->m_is_head_sent) {
+    scope->m_is_head_sent = true;
+    scope->m_status = head.m_status;
+    sent = scope->m_exchange->BeginStream(
+        head.m_status, m_protocol->m_relay_headers(head.m_headers));
+  }
+  if (sent) sent = scope->m_exchange->WriteStream(text);
+  if (!sent) {
+    EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+    return false;
+  }
+  scope->m_last_event = last;
+  return true;
+}
+
+void Gateway::RelayStream(RequestScope *scope, const Choice &choice,
+                          net::HttpCall *call, const net::HttpResponse &head) {
+  base::milliseconds gap(scope->m_route->max_gap_ms());
+  base::milliseconds stall = std::max(kLeastStall, gap * kStallFactor);
+  bool is_first = true;
+  while (true) {
+    bool may_move = routes::IsRepeatable(*scope->m_route) && !is_first &&
+                    HasAlternative(*scope, choice);
+    base::TimePoint limit = scope->m_deadline;
+    if (may_move) limit = std::min(limit, base::Clock::now() + stall);
+    std::string bytes;
+    base::Result<bool> more = call->ReadSome(&bytes, limit);
+    base::TimePoint now = base::Clock::now();
+    if (!more) {
+      bool is_stalled = limit < scope->m_deadline &&
+                        more.error().m_kind == base::ErrorKind::kTimeout;
+      EndFailedRead(scope, more.error());
+      if (is_stalled) EndAttempt(scope, AttemptEnd::kUnknown, "stalled");
+      if (scope->m_end == AttemptEnd::kUnknown) {
+        RecordFailure(&m_stats[choice.m_upstream], kFailureWeight, now);
+      }
+      return;
+    }
+    if (!*more) break;
+    if (is_first) {
+      is_first = false;
+      if (scope->m_first_at == base::TimePoint()) scope->m_first_at = now;
+      UpstreamStats &stats = m_stats[choice.m_upstream];
+      RecordSuccess(&stats, now - scope->m_sent_at, choice.m_expected, now);
+      RememberPrompt(&stats.m_prefixes, scope->m_facts, scope->m_chain_keys,
+                     scope->m_service->engine().kv_tokens());
+    }
+    if (!ForwardEvents(scope, head, bytes)) return;
+  }
+  if (!IsBetweenEvents(scope->m_cutter) || !scope->m_is_head_sent) {
+    EndAttempt(scope, AttemptEnd::kUnknown, "stream_incomplete");
+    return;
+  }
+  (void)scope->m_exchange->EndStream();
+  scope->m_outcome = "answered";
+  EndAttempt(scope, AttemptEnd::kAnswered, "");
+}
+
+void Gateway::RelayWhole(RequestScope *scope, const Choice &choice,
+                         net::HttpCall *call, net::HttpResponse head) {
+  while (true) {
+    base::Result<bool> more = call->ReadSome(&head.m_body, scope->m_deadline);
+    if (!more) {
+      EndFailedRead(scope, more.error());
+      if (scope->m_end == AttemptEnd::kUnknown) {
+        RecordFailure(&m_stats[choice.m_upstream], kFailureWeight,
+                      base::Clock::now());
+      }
+      return;
+    }
+    if (!*more) break;
+    if (head.m_body.size() > kMostBodyBytes) {
+      EndAttempt(scope, AttemptEnd::kUnknown, "answer_too_long");
+      return;
+    }
+  }
+  base::TimePoint now = base::Clock::now();
+  scope->m_first_at = now;
+  bool is_failure = head.m_status >= 500;
+  bool is_final =
+      !is_failure ||
+      scope->m_runs + 1 >= static_cast<int>(scope->m_route->max_attempts());
+  if (is_failure) {
+    RecordFailure(&m_stats[choice.m_upstream], kFailureWeight, now);
+  } else {
+    RecordSuccess(&m_stats[choice.m_upstream], now - scope->m_sent_at,
+                  choice.m_expected, now);
+  }
+  bool may_retry =
+      is_failure && !is_final && routes::IsRepeatable(*scope->m_route);
+  if (may_retry || IsPromise(head.m_status) || scope->m_is_head_sent) {
+    // A status that promises that nothing ran would be untrue here.
+    EndAttempt(scope, AttemptEnd::kUnknown, "upstream_failed");
+    return;
+  }
+  head.m_headers = m_protocol->m_relay_headers(head.m_headers);
+  scope->m_status = head.m_status;
+  scope->m_outcome = "answered";
+  (void)scope->m_exchange->Respond(head);
+  EndAttempt(scope, AttemptEnd::kAnswered, "");
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/choose_func.h
@@ -0,0 +1,68 @@
+/** @file choose_func.h Choice of the upstream that gets a request. */
+
+#ifndef WASABIWIND_GATEWAY_CHOOSE_FUNC_H_
+#define WASABIWIND_GATEWAY_CHOOSE_FUNC_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+#include "fleet/view_func.h"
+#include "gateway/upstream_stats_func.h"
+#include "routes/table_func.h"
+
+namespace wasabiwind::gateway {
+
+using StatsById = absl::flat_hash_map<std::string, UpstreamStats>;
+
+/** Where this host is and which region each failure domain belongs to. */
+struct Location {
+  std::string m_domain;
+  std::string m_region;
+  std::map<std::string, std::string> m_region_by_domain;
+};
+
+struct ChoiceRequest {
+  const RequestFacts *m_facts = nullptr;
+  const gen::RoutedService *m_service = nullptr;
+  std::vector<std::uint64_t> m_chain_keys;  ///< MakeChainKeys of the facts
+  std::set<std::string> m_excluded;         ///< upstreams that failed it
+  std::uint64_t m_draw = 0;                 ///< breaks ties
+};
+
+/** Why there is no choice. */
+enum class ChoiceProblem : std::uint8_t {
+  kNone,
+  kNoUpstream,   ///< no upstream of the service serves
+  kNoModel,      ///< none of them holds the model
+  kNoAdapter,    ///< some hold the model, none the adapter
+  kAllExcluded,  ///< those that could have failed this request already
+  kEnd,
+};
+
+struct Choice {
+  std::string m_upstream;  ///< "" if there is a problem
+  std::string m_address;
+  ChoiceProblem m_problem = ChoiceProblem::kNone;
+  base::milliseconds m_expected{0};   ///< time to the first byte
+  std::uint32_t m_unread_tokens = 0;  ///< of the prompt at that upstream
+  bool m_is_silent = false;
+};
+
+/**
+ * Chooses the upstream with the least expected time to the first byte. The
+ * time is made up of the way there, the prompt that it must read and work that
+ * it has; upstreams that failed lately or fell silent come last.
+ */
+Choice ChooseUpstream(const fleet::FleetView &view, StatsById *stats,
+                      const Location &location, const ChoiceRequest &request,
+                      base::TimePoint now);
+
+/** @return the name of a problem for logs and metrics. */
+const char *GetProblemName(ChoiceProblem problem);
+
+}  // namespace wasabiwind::gateway
+
+#endif  // WASABIWIND_GATEWAY_CHOOSE_FUNC_H_
--- /dev/null
+++ b/src/gateway/event_stream.cpp
@@ -0,0 +1,72 @@
+/** @file event_stream.cpp Cuts a stream into whole events. */
+
+#include <charconv>
+#include <string_view>
+
+#include "gateway/event_stream_func.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/** @return length of the line end at a position, 0 if there is none. */
+std::size_t GetLineEnd(std::string_view text, std::size_t at) {
+  if (at < text.size() && text[at] == '\n') return 1;
+  bool is_crlf =
+      at + 1 < text.size() && text[at] == '\r' && text[at + 1] == '\n';
+  return is_crlf ? 2 : 0;
+}
+
+/** @return the position behind the first empty line, or npos. */
+std::size_t FindEventEnd(std::string_view text) {
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    std::size_t first = GetLineEnd(text, at);
+    if (first == 0) continue;
+    std::size_t second = GetLineEnd(text, at + first);
+    if (second != 0) return at + first + second;
+  }
+  return std::string_view::npos;
+}
+
+std::optional<std::uint64_t> ParseId(std::string_view event) {
+  std::size_t start = 0;
+  while (start < event.size()) {
+    std::size_t end = event.find('\n', start);
+    if (end == std::string_view::npos) end = event.size();
+    std::string_view line = event.substr(start, end - start);
+    start = end + 1;
+    if (line.substr(0, kIdField.size()) != kIdField) continue;
+    line.remove_prefix(kIdField.size());
+    while (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+    std::uint64_t id = 0;
+    auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+    if (parsed.ec != std::errc()) return std::nullopt;
+    return id;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+bool CutEvents(EventCutter *cutter, std::string_view bytes,
+               std::vector<StreamEvent> *events) {
+  cutter->m_rest.append(bytes);
+  std::string_view rest = cutter->m_rest;
+  while (true) {
+    std::size_t end = FindEventEnd(rest);
+    if (end == std::string_view::npos) break;
+    std::string_view text = rest.substr(0, end);
+    events->push_back(StreamEvent{std::string(text), ParseId(text)});
+    rest.remove_prefix(end);
+  }
+  cutter->m_rest = std::string(rest);
+  return cutter->m_rest.size() <= kMaxEventBytes;
+}
+
+bool IsBetweenEvents(const EventCutter &cutter) {
+  return cutter.m_rest.empty();
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,256 @@
+/** @file gateway.cpp Beliefs, timers and own answers of an entry host. */
+
+#include "gateway/gateway.h"
+
+#include <sstream>
+#include <utility>
+
+#include "base/log_func.h"
+#include "base/metrics_func.h"
+#include "fleet/host_list_func.h"
+#include "gateway/gateway_internal.h"
+#include "net/fiber_scheduler.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+using base::LogEvent;
+using base::LogLevel;
+
+constexpr base::milliseconds kTick{50};
+constexpr base::milliseconds kUsePeriod{500};
+/** Callers ask again after this, so that a host that stops is soon forgotten.
+ */
+constexpr base::milliseconds kAddressTtl{1'000};
+constexpr base::milliseconds kUpstreamConnectTimeout{600};
+constexpr base::milliseconds kUpstreamUserTimeout{2'500};
+constexpr base::milliseconds kUpstreamIdle{4'000};
+constexpr std::size_t kUpstreamIdleConnections = 8;
+/** Entry hosts that may come beside the known ones share the budget too. */
+constexpr std::size_t kSpareEntryHosts = 2;
+/** Share of the allowed repeats that entry hosts use. */
+constexpr double kBudgetShare = 0.8;
+
+std::map<std::string, std::string> ParseDomains(const std::string &text) {
+  std::map<std::string, std::string> regions;
+  for (const std::string &item : fleet::ParseHostList(text)) {
+    std::size_t equals = item.find('=');
+    if (equals == std::string::npos) continue;
+    regions[item.substr(0, equals)] = item.substr(equals + 1);
+  }
+  return regions;
+}
+
+std::uint64_t GetWallMs() {
+  return static_cast<std::uint64_t>(
+      base::ToMilliseconds(base::WallClock::now().time_since_epoch()));
+}
+
+}  // namespace
+
+Gateway::Gateway(gen::FleetEntrySettings settings,
+                 const GatewayProtocol *protocol, Sender sender)
+    : m_settings(std::move(settings)),
+      m_protocol(protocol),
+      m_sender(std::move(sender)) {
+  m_random.m_state = base::MakeSeed();
+  m_self.set_name(m_settings.node().name());
+  m_self.set_born_ms(GetWallMs());
+  m_self.set_endpoint(m_settings.network().message_address());
+  m_self.set_caller_address(m_settings.callers().listen());
+  m_self.set_region(m_settings.node().region());
+  m_self.set_domain(m_settings.node().domain());
+  m_follower.m_own_endpoint = m_self.endpoint();
+  m_location.m_domain = m_self.domain();
+  m_location.m_region = m_self.region();
+  m_location.m_region_by_domain = ParseDomains(m_settings.network().domains());
+  net::HttpClientOptions options;
+  options.m_connect_timeout = kUpstreamConnectTimeout;
+  options.m_user_timeout = kUpstreamUserTimeout;
+  options.m_idle_timeout = kUpstreamIdle;
+  options.m_max_idle_per_endpoint = kUpstreamIdleConnections;
+  m_client = std::make_unique<net::HttpClientPool>(options);
+  RefreshIdentity();
+  Reload(m_settings);
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::Reload(const gen::FleetEntrySettings &settings) {
+  m_follower.m_seeds.clear();
+  for (const std::string &host :
+       fleet::ParseHostList(settings.network().control_hosts())) {
+    m_follower.m_seeds.insert(
+        fleet::MakeMessageEndpoint(host, settings.network().message_port()));
+  }
+}
+
+/** Puts the present state into what requests to control hosts carry. */
+void Gateway::RefreshIdentity() {
+  gen::EntryState state = gen::ENTRY_STARTING;
+  if (m_routes != nullptr) state = gen::ENTRY_SERVING;
+  if (m_is_leaving) state = gen::ENTRY_LEAVING;
+  m_self.set_state(state);
+  m_self.set_report_number(m_self.report_number() + 1);
+  *m_follower.m_self.mutable_entry() = m_self;
+}
+
+bool Gateway::IsReady() const {
+  return m_routes != nullptr && !m_is_leaving &&
+         !m_follower.m_view.m_upstreams.empty();
+}
+
+void Gateway::SendAll(const std::vector<fleet::OutMessage> &messages) {
+  for (const fleet::OutMessage &out : messages) {
+    m_sender(out.m_to, out.m_message);
+  }
+}
+
+void Gateway::AdoptRoutes(gen::RouteTable table) {
+  bool is_first = m_routes == nullptr;
+  m_routes = routes::MakeRouteIndex(std::move(table));
+  LogEvent(LogLevel::kInfo, "routes_in_force",
+           {{"version", m_routes->m_table.version()},
+            {"routes", m_routes->m_table.routes_size()}});
+  if (m_on_limits) m_on_limits(m_routes->m_table.limits());
+  m_view_changed.notify_all();
+  if (!is_first) return;
+  RefreshIdentity();
+  SendAll(fleet::AnnounceToAll(&m_follower, base::Clock::now()));
+}
+
+void Gateway::HandleMessage(const std::string &from,
+                            const gen::FleetMessage &message) {
+  if (!message.has_news()) return;
+  RefreshIdentity();
+  fleet::NewsResult result =
+      fleet::HandleNews(&m_follower, from, message.news(), base::Clock::now());
+  if (result.m_routes) AdoptRoutes(std::move(*result.m_routes));
+  for (const std::string &id : result.m_changed_upstreams) {
+    const gen::UpstreamReport &report =
+        m_follower.m_view.m_upstreams[id].m_report;
+    LogEvent(LogLevel::kDebug, "upstream_changed",
+             {{"upstream", id},
+              {"born_ms", report.born_ms()},
+              {"report", report.report_number()},
+              {"state", gen::UpstreamState_Name(report.state())},
+              {"publisher", from}});
+  }
+  SendAll(result.m_messages);
+  if (!result.m_changed_upstreams.empty()) m_view_changed.notify_all();
+}
+
+void Gateway::HandleDirectory(const net::HttpRequest &request,
+                              net::HttpExchange &exchange) {
+  base::TimePoint now = base::Clock::now();
+  if (m_protocol->m_is_ready_query(request)) {
+    net::HttpResponse response;
+    response.m_status = IsReady() ? 200 : 503;
+    (void)exchange.Respond(response);
+    return;
+  }
+  std::optional<AddressQuery> query =
+      m_protocol->m_decode_address_query(request);
+  net::HttpResponse response;
+  if (!query) {
+    response.m_status = 404;
+    (void)exchange.Respond(response);
+    return;
+  }
+  AddressAnswer answer;
+  answer.m_addresses =
+      ListAddresses(m_follower.m_view, m_location, m_self, *query, now);
+  answer.m_ttl = std::min(
+      kAddressTtl, base::milliseconds(m_settings.bounds().address_ttl_ms()));
+  if (answer.m_addresses.empty()) {
+    response.m_status = 503;
+  } else {
+    response = m_protocol->m_encode_address_answer(answer);
+  }
+  (void)exchange.Respond(response);
+}
+
+route::Budget &Gateway::GetBudget(const std::string &service) {
+  auto [found, is_new] = m_budgets.try_emplace(service);
+  if (is_new)
+    found->second.m_share = kBudgetShare * m_settings.bounds().retry_ratio();
+  return found->second;
+}
+
+/** Adds this host's part of the repeats that are free of charge. */
+void Gateway::RefillBudgets(base::TimePoint now) {
+  double seconds = std::chrono::duration<double>(now - m_budgets_at).count();
+  bool is_first = m_budgets_at == base::TimePoint();
+  m_budgets_at = now;
+  if (is_first || m_routes == nullptr) return;
+  std::size_t hosts =
+      std::max<std::size_t>(1, m_follower.m_view.m_entries.size()) +
+      kSpareEntryHosts;
+  double window = m_settings.bounds().retry_window_ms() / 1000.0;
+  // A full budget and what comes in during a window together make the part.
+  double part = kBudgetShare * m_settings.bounds().retry_slack() /
+                static_cast<double>(hosts) / 2;
+  for (const gen::RoutedService &service : m_routes->m_table.services()) {
+    route::Budget &budget = GetBudget(service.name());
+    budget.m_max_credit = std::max(1.0, part);
+    budget.m_credit = std::min(budget.m_max_credit,
+                               budget.m_credit + part * seconds / window);
+  }
+}
+
+TargetCounts &Gateway::GetCounts(const RequestScope &scope,
+                                 bool wants_adapter) {
+  return m_uses.m_targets[fleet::TargetKey{
+      scope.m_service->name(), scope.m_facts.m_model,
+      wants_adapter ? scope.m_facts.m_adapter : std::string()}];
+}
+
+void Gateway::SendUse(base::TimePoint now) {
+  const std::string &leader = m_follower.m_view.m_leader_endpoint;
+  bool is_due = m_must_send_use || now >= m_use_sent_at + kUsePeriod;
+  if (!is_due || leader.empty() || m_uses.m_targets.empty()) return;
+  m_must_send_use = false;
+  m_use_sent_at = now;
+  gen::FleetMessage message;
+  gen::UseReport *report = message.mutable_use();
+  *report = TakeUseReport(&m_uses);
+  report->set_entry(m_self.name());
+  report->set_born_ms(m_self.born_ms());
+  m_sender(leader, message);
+}
+
+/** Finds callers that have gone and stops their requests. */
+void Gateway::SweepActive() {
+  for (RequestScope *scope : m_active) {
+    if (scope->m_is_caller_gone || !scope->m_exchange->IsPeerGone()) continue;
+    scope->m_is_caller_gone = true;
+    if (scope->m_call != nullptr) scope->m_call->Cancel();
+    m_view_changed.notify_all();
+  }
+}
+
+void Gateway::RunTicks() {
+  while (!m_is_stopped) {
+    base::TimePoint now = base::Clock::now();
+    RefreshIdentity();
+    SendAll(fleet::TickFollower(&m_follower, now));
+    RefillBudgets(now);
+    SendUse(now);
+    SweepActive();
+    net::SleepFor(kTick);
+  }
+}
+
+void Gateway::BeginLeaving() {
+  m_is_leaving = true;
+  RefreshIdentity();
+  SendAll(fleet::AnnounceToAll(&m_follower, base::Clock::now()));
+}
+
+void Gateway::Stop() {
+  m_is_stopped = true;
+  m_view_changed.notify_all();
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,133 @@
+/** @file gateway.h Entry host that serves declared routes. */
+
+#ifndef WASABIWIND_GATEWAY_GATEWAY_H_
+#define WASABIWIND_GATEWAY_GATEWAY_H_
+
+#include <fleet_settings.pb.h>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/random_func.h"
+#include "fleet/follower_func.h"
+#include "gateway/choose_func.h"
+#include "gateway/directory_func.h"
+#include "gateway/protocol_type.h"
+#include "gateway/use_func.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "route/budget_func.h"
+#include "routes/table_func.h"
+
+namespace wasabiwind::gateway {
+
+struct RequestScope;
+
+/**
+ * Request path and beliefs of one entry host. All methods belong to one fiber
+ * thread; the request fibers of that thread share the state between waits.
+ */
+class Gateway {
+ public:
+  using Sender =
+      std::function<void(const std::string &to, const gen::FleetMessage &)>;
+
+  /** @param protocol outlives this object */
+  Gateway(gen::FleetEntrySettings settings, const GatewayProtocol *protocol,
+          Sender sender);
+  ~Gateway();
+
+  /** Takes over what may change while the program runs. */
+  void Reload(const gen::FleetEntrySettings &settings);
+
+  /** Serves a caller's request. */
+  void HandleCaller(const net::HttpRequest &request,
+                    net::HttpExchange &exchange);
+  /** Answers which addresses to use and whether this host is ready. */
+  void HandleDirectory(const net::HttpRequest &request,
+                       net::HttpExchange &exchange);
+  /** Takes in a message of a control host. */
+  void HandleMessage(const std::string &from, const gen::FleetMessage &message);
+
+  /** Timers, until Stop. @pre inside net::RunFiberThread */
+  void RunTicks();
+  void Stop();
+
+  /** Tells control hosts and callers that this host stops soon. */
+  void BeginLeaving();
+  /** From now on new requests are refused as not run. */
+  void BeginRefusing() { m_is_refusing = true; }
+
+  bool IsReady() const;
+  std::size_t CountActive() const { return m_active.size(); }
+
+  /** @return limits for callers' connections, when a new table came. */
+  std::function<void(const gen::CallerLimits &)> m_on_limits;
+
+ private:
+  friend struct ActiveGuard;
+
+  // request.cpp
+  bool Admit(RequestScope *scope);
+  void Serve(RequestScope *scope);
+  bool WaitForChoice(RequestScope *scope, ChoiceProblem problem);
+  bool MayRepeat(RequestScope *scope, const char *reason);
+  void FinishUnknown(RequestScope *scope);
+  void Refuse(RequestScope *scope, int status, const std::string &reason,
+              const std::string &message);
+  void LogRequest(const RequestScope &scope) const;
+  ChoiceRequest MakeChoiceRequest(const RequestScope &scope) const;
+
+  // attempt.cpp
+  void RunAttempt(RequestScope *scope, const Choice &choice);
+  void SendAndRelay(RequestScope *scope, const Choice &choice);
+  bool AwaitHead(RequestScope *scope, const Choice &choice, net::HttpCall *call,
+                 net::HttpResponse *head);
+  void RelayStream(RequestScope *scope, const Choice &choice,
+                   net::HttpCall *call, const net::HttpResponse &head);
+  void RelayWhole(RequestScope *scope, const Choice &choice,
+                  net::HttpCall *call, net::HttpResponse head);
+  bool ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
+                     const std::string &bytes);
+  bool HasAlternative(const RequestScope &scope, const Choice &choice);
+
+  // gateway.cpp
+  void SendAll(const std::vector<fleet::OutMessage> &messages);
+  void AdoptRoutes(gen::RouteTable table);
+  void SweepActive();
+  void SendUse(base::TimePoint now);
+  void RefreshIdentity();
+  route::Budget &GetBudget(const std::string &service);
+  void RefillBudgets(base::TimePoint now);
+  TargetCounts &GetCounts(const RequestScope &scope, bool wants_adapter);
+
+  gen::FleetEntrySettings m_settings;
+  const GatewayProtocol *m_protocol;
+  Sender m_sender;
+  gen::EntryHost m_self;
+  Location m_location;
+  fleet::Follower m_follower;
+  routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
+  StatsById m_stats;
+  UseCounts m_uses;
+  std::map<std::string, route::Budget> m_budgets;  ///< by service
+  base::TimePoint m_budgets_at;
+  base::Random m_random;
+  std::unique_ptr<net::HttpClientPool> m_client;
+  std::set<RequestScope *> m_active;
+  boost::fibers::mutex m_mutex;
+  boost::fibers::condition_variable m_view_changed;
+  base::TimePoint m_use_sent_at;
+  bool m_must_send_use = false;
+  bool m_is_leaving = false;
+  bool m_is_refusing = false;
+  bool m_is_stopped = false;
+};
+
+}  // namespace wasabiwind::gateway
+
+#endif  // WASABIWIND_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/request.cpp
@@ -0,0 +1,298 @@
+/** @file request.cpp From a caller's request to its final answer. */
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "base/log_func.h"
+#include "base/metrics_func.h"
+#include "gateway/gateway_internal.h"
+#include "net/fiber_scheduler.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+using base::LogEvent;
+using base::LogLevel;
+
+/** A request with less time left isn't sent any more. */
+constexpr base::milliseconds kLeastSendTime{10};
+/** Share of its time that a request waits for an upstream. */
+constexpr double kWaitShare = 0.6;
+/** Longest sleep between two looks at the upstreams. */
+constexpr base::milliseconds kWaitStep{250};
+/** Pause before upstreams that refused a request are tried again. */
+constexpr base::milliseconds kRefusedPause{60};
+constexpr int kMostNotRuns = 4;
+constexpr base::milliseconds kRetryAfter{250};
+constexpr base::milliseconds kDefaultPatience{30'000};
+
+void CountRefusal(const std::string &reason) {
+  base::GetCounter("ww_refusals_total", "Requests that this host refused",
+                   {{"reason", reason}})
+      .Increment();
+}
+
+void CountRepeat(const char *reason, bool is_allowed) {
+  base::GetCounter("ww_repeats_total",
+                   "Further attempts by reason, and whether they were made",
+                   {{"reason", reason}, {"made", is_allowed ? "yes" : "no"}})
+      .Increment();
+}
+
+const char *GetKindName(gen::RouteKind kind) {
+  switch (kind) {
+    case gen::ROUTE_IDEMPOTENT:
+      return "idempotent";
+    case gen::ROUTE_NON_IDEMPOTENT:
+      return "non_idempotent";
+    case gen::ROUTE_STREAM:
+      return "stream";
+    default:
+      return "unknown";
+  }
+}
+
+void ObserveLatency(const RequestScope &scope) {
+  if (scope.m_route == nullptr) return;
+  base::GetLatencyHistogram("ww_request_seconds",
+                            "Time from a request to the end of its answer",
+                            {{"kind", GetKindName(scope.m_route->kind())},
+                             {"outcome", scope.m_outcome}})
+      .Observe(
+          std::chrono::duration<double>(base::Clock::now() - scope.m_started)
+              .count());
+}
+
+std::uint64_t HashId(const std::string &id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+}  // namespace
+
+ActiveGuard::ActiveGuard(Gateway *gateway, RequestScope *scope)
+    : m_gateway(gateway), m_scope(scope) {
+  m_gateway->m_active.insert(scope);
+}
+
+ActiveGuard::~ActiveGuard() { m_gateway->m_active.erase(m_scope); }
+
+/** Finds route and service. @return false if the request was answered */
+bool Gateway::Admit(RequestScope *scope) {
+  scope->m_facts = m_protocol->m_decode_request(*scope->m_request);
+  scope->m_draw = HashId(scope->m_facts.m_id);
+  scope->m_routes = m_routes;
+  if (m_routes == nullptr) {
+    Refuse(scope, 503, "starting", "no routes are known yet; try another host");
+    return false;
+  }
+  scope->m_route = routes::FindRoute(*m_routes, scope->m_facts.m_host,
+                                     scope->m_request->Path());
+  if (scope->m_route == nullptr) {
+    Refuse(scope, 404, "no_route", "no route has this host and path");
+    return false;
+  }
+  if (m_is_refusing) {
+    Refuse(scope, 503, "stopping", "this host stops; use another one");
+    return false;
+  }
+  scope->m_service = routes::FindService(
+      *m_routes, routes::ChooseService(*scope->m_route, scope->m_draw));
+  scope->m_chain_keys = MakeChainKeys(scope->m_facts);
+  base::milliseconds timeout(scope->m_route->timeout_ms());
+  base::milliseconds patience =
+      scope->m_facts.m_patience.value_or(kDefaultPatience);
+  scope->m_deadline = scope->m_started + std::min(timeout, patience);
+  EarnBudget(&GetBudget(scope->m_service->name()));
+  if (scope->m_service->has_engine() && !scope->m_facts.m_model.empty()) {
+    ++GetCounts(*scope, false).m_arrivals;
+    if (!scope->m_facts.m_adapter.empty()) {
+      ++GetCounts(*scope, true).m_arrivals;
+    }
+  }
+  return true;
+}
+
+void Gateway::HandleCaller(const net::HttpRequest &request,
+                           net::HttpExchange &exchange) {
+  RequestScope scope;
+  scope.m_request = &request;
+  scope.m_exchange = &exchange;
+  scope.m_started = base::Clock::now();
+  if (Admit(&scope)) {
+    ActiveGuard guard(this, &scope);
+    Serve(&scope);
+  }
+  ObserveLatency(scope);
+  LogRequest(scope);
+}
+
+ChoiceRequest Gateway::MakeChoiceRequest(const RequestScope &scope) const {
+  ChoiceRequest choice;
+  choice.m_facts = &scope.m_facts;
+  choice.m_service = scope.m_service;
+  choice.m_chain_keys = scope.m_chain_keys;
+  choice.m_excluded = scope.m_excluded;
+  choice.m_draw = scope.m_draw;
+  return choice;
+}
+
+/**
+ * Decides whether another attempt may follow.
+ * @param reason why the last one wasn't enough
+ */
+bool Gateway::MayRepeat(RequestScope *scope, const char *reason) {
+  auto most_runs = static_cast<int>(
+      std::max<std::uint32_t>(1, scope->m_route->max_attempts()));
+  bool is_possible =
+      scope->m_runs < most_runs && scope->m_not_runs <= kMostNotRuns &&
+      (scope->m_runs == 0 || routes::IsRepeatable(*scope->m_route));
+  bool is_allowed =
+      is_possible && (scope->m_sends == 0 ||
+                      SpendBudget(&GetBudget(scope->m_service->name())));
+  CountRepeat(reason, is_allowed);
+  if (is_possible && !is_allowed) scope->m_reason += ",retry_budget";
+  return is_allowed;
+}
+
+void Gateway::Serve(RequestScope *scope) {
+  while (true) {
+    base::TimePoint now = base::Clock::now();
+    if (scope->m_is_caller_gone) {
+      scope->m_outcome = "caller_gone";
+      return;
+    }
+    if (GetRemaining(*scope, now) < kLeastSendTime) {
+      scope->m_reason = "timeout";
+      FinishUnknown(scope);
+      return;
+    }
+    Choice choice = ChooseUpstream(m_follower.m_view, &m_stats, m_location,
+                                   MakeChoiceRequest(*scope), now);
+    if (choice.m_problem != ChoiceProblem::kNone) {
+      if (WaitForChoice(scope, choice.m_problem)) continue;
+      if (scope->m_is_caller_gone) continue;
+      scope->m_reason = GetProblemName(choice.m_problem);
+      FinishUnknown(scope);
+      return;
+    }
+    RunAttempt(scope, choice);
+    switch (scope->m_end) {
+      case AttemptEnd::kAnswered:
+        return;
+      case AttemptEnd::kCallerGone:
+        scope->m_is_caller_gone = true;
+        continue;
+      case AttemptEnd::kTimedOut:
+        FinishUnknown(scope);
+        return;
+      case AttemptEnd::kNotRun:
+        ++scope->m_not_runs;
+        break;
+      case AttemptEnd::kUnknown:
+      case AttemptEnd::kEnd:
+        ++scope->m_runs;
+        break;
+    }
+    scope->m_excluded.insert(choice.m_upstream);
+    if (!MayRepeat(scope, scope->m_reason.c_str())) {
+      FinishUnknown(scope);
+      return;
+    }
+  }
+}
+
+/**
+ * Waits until an upstream may have become available.
+ * @return false if it is time to give up
+ */
+bool Gateway::WaitForChoice(RequestScope *scope, ChoiceProblem problem) {
+  base::TimePoint start = base::Clock::now();
+  auto longest = std::chrono::duration_cast<base::Duration>(
+      (scope->m_deadline - scope->m_started) * kWaitShare);
+  base::TimePoint give_up = scope->m_started + longest;
+  if (start >= give_up || m_is_refusing) return false;
+  if (problem == ChoiceProblem::kAllExcluded) {
+    net::SleepFor(kRefusedPause);
+    scope->m_excluded.clear();
+    scope->m_waited += base::Clock::now() - start;
+    return true;
+  }
+  bool is_target = problem == ChoiceProblem::kNoModel ||
+                   problem == ChoiceProblem::kNoAdapter;
+  bool wants_adapter = problem == ChoiceProblem::kNoAdapter;
+  if (is_target) {
+    TargetCounts &counts = GetCounts(*scope, wants_adapter);
+    if (counts.m_waiting++ == 0) m_must_send_use = true;
+    counts.m_rank = scope->m_route->rank();
+    if (m_must_send_use) SendUse(start);
+  }
+  {
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    m_view_changed.wait_until(lock, std::min(give_up, start + kWaitStep));
+  }
+  if (is_target) --GetCounts(*scope, wants_adapter).m_waiting;
+  scope->m_waited += base::Clock::now() - start;
+  return !scope->m_is_caller_gone;
+}
+
+/** Ends a request that no attempt has answered. */
+void Gateway::FinishUnknown(RequestScope *scope) {
+  if (scope->m_is_head_sent) {
+    // The caller must see that the answer isn't complete.
+    scope->m_exchange->Abort();
+    scope->m_outcome = "cut";
+    return;
+  }
+  if (scope->m_runs == 0 && scope->m_end != AttemptEnd::kTimedOut) {
+    Refuse(scope, 503, scope->m_reason, "the request didn't run; try again");
+    return;
+  }
+  bool is_timeout =
+      scope->m_end == AttemptEnd::kTimedOut || scope->m_reason == "timeout";
+  Refuse(scope, is_timeout ? 504 : 502, scope->m_reason,
+         "the request may have run");
+}
+
+void Gateway::Refuse(RequestScope *scope, int status, const std::string &reason,
+                     const std::string &message) {
+  RefusalFacts facts;
+  facts.m_status = status;
+  facts.m_request_id = scope->m_facts.m_id;
+  facts.m_reason = reason;
+  facts.m_message = message;
+  if (status == 503) facts.m_retry_after = kRetryAfter;
+  scope->m_status = status;
+  scope->m_outcome = "refused";
+  scope->m_reason = reason;
+  CountRefusal(reason);
+  (void)scope->m_exchange->Respond(m_protocol->m_make_refusal(facts));
+}
+
+void Gateway::LogRequest(const RequestScope &scope) const {
+  base::TimePoint now = base::Clock::now();
+  bool is_good = scope.m_outcome == "answered" && scope.m_status < 400;
+  base::Duration first = scope.m_first_at == base::TimePoint()
+                             ? base::Duration(-1)
+                             : scope.m_first_at - scope.m_started;
+  LogEvent(is_good ? LogLevel::kInfo : LogLevel::kWarn, "request",
+           {{"request", scope.m_facts.m_id},
+            {"route", scope.m_route == nullptr ? "" : scope.m_route->name()},
+            {"routes_version",
+             scope.m_routes == nullptr ? 0 : scope.m_routes->m_table.version()},
+            {"target",
+             fleet::MakeTarget(scope.m_facts.m_model, scope.m_facts.m_adapter)},
+            {"upstream", scope.m_upstream},
+            {"outcome", scope.m_outcome},
+            {"status", scope.m_status},
+            {"reason", scope.m_reason},
+            {"sends", scope.m_sends},
+            {"not_runs", scope.m_not_runs},
+            {"runs", scope.m_runs},
+            {"waited_ms", base::ToMilliseconds(scope.m_waited)},
+            {"first_ms", base::ToMilliseconds(first)},
+            {"took_ms", base::ToMilliseconds(now - scope.m_started)}});
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/server.cpp
@@ -0,0 +1,260 @@
+/** @file server.cpp The program of entry hosts that serve declared routes. */
+
+#include "gateway/server.h"
+
+#include <envelope.pb.h>
+#include <fleet_settings.pb.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <cstdio>
+
+#include "base/log_func.h"
+#include "base/settings_func.h"
+#include "gateway/gateway.h"
+#include "net/fiber_scheduler.h"
+#include "net/message_transport.h"
+#include "net/program_func.h"
+#include "net/settings_watch.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+using base::LogEvent;
+using base::LogLevel;
+
+constexpr std::uint32_t kEnvelopeVersion = 1;
+constexpr std::size_t kMaxMessageBytes = 8 << 20;
+constexpr std::size_t kMaxCallerConnections = 3'000;
+constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxBodyBytes = 16 << 20;
+/** Callers use connections up to their limit; closing later avoids a race. */
+constexpr int kIdleMargin = 2;
+/** Callers that kept an old address answer have moved on after this long. */
+constexpr base::milliseconds kMoveTime{3'000};
+/** Left of the grace for the end of the process. */
+constexpr base::milliseconds kExitReserve{500};
+constexpr base::milliseconds kDrainStep{20};
+
+/** All parts of the running program. Used by one fiber thread. */
+class EntryProgram {
+ public:
+  EntryProgram(gen::FleetEntrySettings settings,
+               const GatewayProtocol *protocol);
+
+  base::Result<void> Start();
+  void RunUntilStopped(net::SettingsWatch *watch);
+  void Reload(const gen::FleetEntrySettings &settings) {
+    m_gateway.Reload(settings);
+  }
+
+ private:
+  base::Result<std::unique_ptr<net::HttpServer>> Listen(
+      const std::string &address, net::HttpHandler handler) const;
+  base::Result<void> AddDirectory(const std::string &address);
+  void Send(const std::string &to, const gen::FleetMessage &message);
+  void Receive(const std::string &message);
+  void Drain();
+
+  gen::FleetEntrySettings m_settings;
+  Gateway m_gateway;
+  std::unique_ptr<net::MessageTransport> m_transport;
+  std::unique_ptr<net::HttpServer> m_callers;
+  std::vector<std::unique_ptr<net::HttpServer>> m_directories;
+  std::unique_ptr<net::HttpServer> m_admin;
+};
+
+EntryProgram::EntryProgram(gen::FleetEntrySettings settings,
+                           const GatewayProtocol *protocol)
+    : m_settings(std::move(settings)),
+      m_gateway(
+          m_settings, protocol,
+          [this](const std::string &to, const gen::FleetMessage &message) {
+            Send(to, message);
+          }) {}
+
+base::Result<std::unique_ptr<net::HttpServer>> EntryProgram::Listen(
+    const std::string &address, net::HttpHandler handler) const {
+  base::Result<net::Endpoint> endpoint = net::ParseEndpoint(address);
+  if (!endpoint) return tl::unexpected(endpoint.error());
+  net::HttpServerOptions options;
+  options.m_listen = *endpoint;
+  options.m_max_header_bytes = kMaxHeaderBytes;
+  options.m_max_body_bytes = kMaxBodyBytes;
+  options.m_max_connections = kMaxCallerConnections;
+  options.m_is_half_closed_gone = true;
+  auto server = std::make_unique<net::HttpServer>(options, std::move(handler));
+  if (base::Result<void> done = server->Listen(); !done) {
+    return tl::unexpected(done.error());
+  }
+  return server;
+}
+
+base::Result<void> EntryProgram::AddDirectory(const std::string &address) {
+  if (address.empty()) return {};
+  auto server = Listen(address, [this](const net::HttpRequest &request,
+                                       net::HttpExchange &exchange) {
+    m_gateway.HandleDirectory(request, exchange);
+  });
+  if (!server) return tl::unexpected(server.error());
+  m_directories.push_back(std::move(*server));
+  return {};
+}
+
+base::Result<void> EntryProgram::Start() {
+  base::Result<net::Endpoint> messages =
+      net::ParseEndpoint(m_settings.network().message_address());
+  if (!messages) return tl::unexpected(messages.error());
+  net::MessageTransportOptions transport;
+  transport.m_listen = *messages;
+  transport.m_max_message_bytes = kMaxMessageBytes;
+  m_transport = std::make_unique<net::MessageTransport>(transport);
+  if (base::Result<void> done = m_transport->Listen(); !done) return done;
+  auto callers = Listen(
+      m_settings.callers().listen(),
+      [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
+        m_gateway.HandleCaller(request, exchange);
+      });
+  if (!callers) return tl::unexpected(callers.error());
+  m_callers = std::move(*callers);
+  m_gateway.m_on_limits = [this](const gen::CallerLimits &limits) {
+    if (limits.idle_timeout_ms() == 0) return;
+    m_callers->SetIdleTimeout(
+        base::milliseconds(limits.idle_timeout_ms() * kIdleMargin));
+  };
+  auto done = AddDirectory(m_settings.callers().directory());
+  if (done) done = AddDirectory(m_settings.callers().ready());
+  if (!done) return done;
+  net::AdminHooks hooks;
+  hooks.m_check_ready = [this]() -> std::string {
+    return m_gateway.IsReady() ? "" : "no routes or upstreams are known";
+  };
+  auto admin = net::StartAdminServer(m_settings.admin(), hooks);
+  if (!admin) return tl::unexpected(admin.error());
+  m_admin = std::move(*admin);
+  return {};
+}
+
+void EntryProgram::Send(const std::string &to,
+                        const gen::FleetMessage &message) {
+  base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
+  if (!endpoint) {
+    LogEvent(LogLevel::kWarn, "endpoint_unreadable", {{"endpoint", to}});
+    return;
+  }
+  gen::Envelope envelope;
+  envelope.set_version(kEnvelopeVersion);
+  envelope.set_from(m_settings.network().message_address());
+  envelope.set_from_node(m_settings.node().name());
+  *envelope.mutable_fleet() = message;
+  if (m_transport != nullptr) {
+    (void)m_transport->Send(*endpoint, envelope.SerializeAsString());
+  }
+}
+
+void EntryProgram::Receive(const std::string &message) {
+  gen::Envelope envelope;
+  bool is_valid = envelope.ParseFromString(message) &&
+                  envelope.version() == kEnvelopeVersion &&
+                  envelope.has_fleet();
+  if (!is_valid) {
+    LogEvent(LogLevel::kWarn, "message_unreadable",
+             {{"bytes", message.size()}});
+    return;
+  }
+  m_gateway.HandleMessage(envelope.from(), envelope.fleet());
+}
+
+/** Serves callers that still come, then waits for the requests in progress. */
+void EntryProgram::Drain() {
+  base::TimePoint start = base::Clock::now();
+  base::TimePoint end =
+      start + base::milliseconds(m_settings.bounds().grace_ms()) - kExitReserve;
+  m_gateway.BeginLeaving();
+  m_callers->BeginDrain();
+  while (base::Clock::now() < std::min(end, start + kMoveTime)) {
+    net::SleepFor(kDrainStep);
+  }
+  m_gateway.BeginRefusing();
+  while (base::Clock::now() < end && m_gateway.CountActive() != 0) {
+    net::SleepFor(kDrainStep);
+  }
+  LogEvent(LogLevel::kInfo, "drained",
+           {{"left", m_gateway.CountActive()},
+            {"took_ms", base::ToMilliseconds(base::Clock::now() - start)}});
+}
+
+void EntryProgram::RunUntilStopped(net::SettingsWatch *watch) {
+  boost::fibers::fiber transport([this] {
+    m_transport->Run([this](const std::string &message) { Receive(message); });
+  });
+  boost::fibers::fiber callers([this] { m_callers->Serve(); });
+  std::vector<boost::fibers::fiber> directories;
+  for (const auto &server : m_directories) {
+    directories.emplace_back([&server] { server->Serve(); });
+  }
+  boost::fibers::fiber admin([this] { m_admin->Serve(); });
+  boost::fibers::fiber ticks([this] { m_gateway.RunTicks(); });
+  boost::fibers::fiber settings([watch] { watch->Run(); });
+  LogEvent(LogLevel::kInfo, "started",
+           {{"callers", m_settings.callers().listen()}});
+  net::WaitForStopSignal([watch] { watch->Check(); });
+  LogEvent(LogLevel::kInfo, "stopping");
+  Drain();
+  if (m_gateway.CountActive() != 0) {
+    // The grace is over: what still runs is cut when the process ends.
+    base::ShutDownLog();
+    std::_Exit(0);
+  }
+  watch->Stop();
+  m_callers->Stop();
+  for (const auto &server : m_directories) server->Stop();
+  m_admin->Stop();
+  m_gateway.Stop();
+  m_transport->Stop();
+  settings.join();
+  ticks.join();
+  callers.join();
+  for (boost::fibers::fiber &directory : directories) directory.join();
+  admin.join();
+  transport.join();
+  LogEvent(LogLevel::kInfo, "stopped");
+}
+
+}  // namespace
+
+int RunGateway(int argc, char **argv, const std::string &name,
+               const GatewayProtocol &protocol) {
+  gen::FleetEntrySettings settings;
+  net::ProgramInfo info{name, "serves callers' requests by declared routes"};
+  if (auto code = net::InitializeProgram(argc, argv, info, &settings)) {
+    return *code;
+  }
+  auto log = base::InitializeLog(name, settings.log().level());
+  if (!log) {
+    std::fprintf(stderr, "%s\n", log.error().ToString().c_str());
+    return 2;
+  }
+  int code = 0;
+  net::RunFiberThread([&] {
+    EntryProgram program(settings, &protocol);
+    if (base::Result<void> started = program.Start(); !started) {
+      LogEvent(LogLevel::kError, "start_failed",
+               {{"error", started.error().ToString()}});
+      code = 1;
+      return;
+    }
+    net::SettingsWatch watch(
+        net::GetSettingsPath(), [&program](const std::string &path) {
+          gen::FleetEntrySettings changed;
+          base::Result<void> loaded = base::LoadSettings(path, &changed);
+          if (loaded) program.Reload(changed);
+          return loaded;
+        });
+    program.RunUntilStopped(&watch);
+  });
+  base::ShutDownLog();
+  return code;
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/upstream_stats.cpp
@@ -0,0 +1,107 @@
+/** @file upstream_stats.cpp What an entry host learns of one upstream. */
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "gateway/upstream_stats_func.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+constexpr double kFailureHalfLifeSeconds = 3.0;
+constexpr double kSlownessHalfLifeSeconds = 4.0;
+constexpr double kSlownessWeight = 0.3;  ///< of the newest answer
+constexpr double kMostSlowness = 20.0;
+constexpr double kSuccessFactor = 0.7;
+constexpr base::milliseconds kDownTime{1'000};
+constexpr double kUnreachableWeight = 2.0;
+
+double HalfLifeFactor(double seconds, double half_life) {
+  return std::exp2(-seconds / half_life);
+}
+
+std::uint64_t Combine(std::uint64_t key, const std::string &text) {
+  return XXH3_64bits_withSeed(text.data(), text.size(), key);
+}
+
+}  // namespace
+
+std::vector<std::uint64_t> MakeChainKeys(const RequestFacts &request) {
+  std::uint64_t key = Combine(0, request.m_model + "/" + request.m_adapter);
+  std::vector<std::uint64_t> keys;
+  keys.reserve(request.m_parts.size());
+  for (const PromptPart &part : request.m_parts) {
+    key = Combine(key, part.m_id);
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+std::uint32_t CountKeptTokens(const PrefixMemory &memory,
+                              const RequestFacts &request,
+                              const std::vector<std::uint64_t> &keys) {
+  std::uint32_t tokens = 0;
+  for (std::size_t i = 0; i < keys.size(); ++i) {
+    if (!memory.m_index.contains(keys[i])) break;
+    tokens += request.m_parts[i].m_tokens;
+  }
+  return tokens;
+}
+
+void RememberPrompt(PrefixMemory *memory, const RequestFacts &request,
+                    const std::vector<std::uint64_t> &keys,
+                    std::uint64_t capacity) {
+  // The last part is inserted first, so that a chain loses its end first.
+  for (std::size_t i = keys.size(); i-- > 0;) {
+    auto found = memory->m_index.find(keys[i]);
+    if (found != memory->m_index.end()) {
+      memory->m_items.splice(memory->m_items.begin(), memory->m_items,
+                             found->second);
+      continue;
+    }
+    memory->m_items.push_front({keys[i], request.m_parts[i].m_tokens});
+    memory->m_index[keys[i]] = memory->m_items.begin();
+    memory->m_tokens += request.m_parts[i].m_tokens;
+  }
+  while (memory->m_tokens > capacity && !memory->m_items.empty()) {
+    memory->m_tokens -= memory->m_items.back().m_tokens;
+    memory->m_index.erase(memory->m_items.back().m_key);
+    memory->m_items.pop_back();
+  }
+}
+
+void DecayStats(UpstreamStats *stats, base::TimePoint now) {
+  if (stats->m_updated_at == base::TimePoint()) stats->m_updated_at = now;
+  double seconds =
+      std::chrono::duration<double>(now - stats->m_updated_at).count();
+  stats->m_updated_at = now;
+  stats->m_failures *= HalfLifeFactor(seconds, kFailureHalfLifeSeconds);
+  stats->m_slowness = 1 + (stats->m_slowness - 1) *
+                              HalfLifeFactor(seconds, kSlownessHalfLifeSeconds);
+}
+
+void RecordFailure(UpstreamStats *stats, double weight, base::TimePoint now) {
+  DecayStats(stats, now);
+  stats->m_failures += weight;
+}
+
+void RecordSuccess(UpstreamStats *stats, base::Duration actual,
+                   base::Duration expected, base::TimePoint now) {
+  DecayStats(stats, now);
+  stats->m_failures *= kSuccessFactor;
+  double ratio =
+      std::chrono::duration<double>(actual).count() /
+      std::max(1e-3, std::chrono::duration<double>(expected).count());
+  ratio = std::clamp(ratio, 1.0, kMostSlowness);
+  stats->m_slowness += kSlownessWeight * (ratio - stats->m_slowness);
+}
+
+void RecordUnreachable(UpstreamStats *stats, base::TimePoint now) {
+  RecordFailure(stats, kUnreachableWeight, now);
+  stats->m_down_until = now + kDownTime;
+}
+
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/src/gateway/upstream_stats_func.h
@@ -0,0 +1,68 @@
+/** @file upstream_stats_func.h What an entry host learns of one upstream. */
+
+#ifndef WASABIWIND_GATEWAY_UPSTREAM_STATS_FUNC_H_
+#define WASABIWIND_GATEWAY_UPSTREAM_STATS_FUNC_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <vector>
+
+#include "base/time_type.h"
+#include "gateway/protocol_type.h"
+
+namespace wasabiwind::gateway {
+
+/**
+ * Prompt parts that a runner keeps, as far as this host sent them there. The
+ * least recently used ones are forgotten at the runner's capacity.
+ */
+struct PrefixMemory {
+  struct Item {
+    std::uint64_t m_key = 0;
+    std::uint32_t m_tokens = 0;  ///< of the last part of the chain
+  };
+  std::list<Item> m_items;  ///< most recently used first
+  absl::flat_hash_map<std::uint64_t, std::list<Item>::iterator> m_index;
+  std::uint64_t m_tokens = 0;
+};
+
+struct UpstreamStats {
+  std::uint64_t m_born_ms = 0;        ///< start that the rest belongs to
+  int m_in_flight = 0;                ///< requests of this host
+  std::uint64_t m_unread_tokens = 0;  ///< of requests without first event
+  double m_failures = 0;              ///< decaying count
+  double m_slowness = 1;  ///< decaying ratio of actual to expected time
+  base::TimePoint m_updated_at;
+  base::TimePoint m_down_until;  ///< refused connections until then
+  PrefixMemory m_prefixes;
+};
+
+/** Keys of the chains of a prompt: each covers a part and all before it. */
+std::vector<std::uint64_t> MakeChainKeys(const RequestFacts &request);
+
+/** @return tokens at the start of a prompt that a runner need not read. */
+std::uint32_t CountKeptTokens(const PrefixMemory &memory,
+                              const RequestFacts &request,
+                              const std::vector<std::uint64_t> &keys);
+
+/** Records that a runner has read a prompt. @param capacity in tokens */
+void RememberPrompt(PrefixMemory *memory, const RequestFacts &request,
+                    const std::vector<std::uint64_t> &keys,
+                    std::uint64_t capacity);
+
+/** Lets failures and slowness fade. */
+void DecayStats(UpstreamStats *stats, base::TimePoint now);
+
+void RecordFailure(UpstreamStats *stats, double weight, base::TimePoint now);
+void RecordSuccess(UpstreamStats *stats, base::Duration actual,
+                   base::Duration expected, base::TimePoint now);
+
+/** Records that the upstream took no connection. */
+void RecordUnreachable(UpstreamStats *stats, base::TimePoint now);
+
+}  // namespace wasabiwind::gateway
+
+#endif  // WASABIWIND_GATEWAY_UPSTREAM_STATS_FUNC_H_
--- a/src/load/load_main.cpp
+++ b/src/load/load_main.cpp
@@ -222,7 +222,8 @@
                   {"ww_load",
                    "sends requests at their times, checks the answers and "
                    "writes the results as JSON"});
-  base::Result<void> result = base::InitializeLog("ww_load", "warn");
+  base::Result<void> result =
+      base::InitializeLog("ww_load", "warn", base::LogOutput::kStandardError);
   if (result) result = Run();
   if (result) return 0;
   std::fprintf(stderr, "%s\n", result.error().ToString().c_str());
--- a/src/net/deadline_socket.cpp
+++ b/src/net/deadline_socket.cpp
@@ -46,7 +46,7 @@
 void DeadlineQueue::StartTimer() {
   if (m_queue.empty() || m_queue.begin()->first >= m_timer_at) return;
   m_timer_at = m_queue.begin()->first;
-  m_timer.expires_at(m_timer_at);
+  ExpireAt(&m_timer, m_timer_at);
   m_timer.async_wait([this](const boost::system::error_code &error) {
     if (!error) Fire();
   });
--- a/src/net/fiber_scheduler.cpp
+++ b/src/net/fiber_scheduler.cpp
@@ -143,6 +143,12 @@
   return *g_deadlines;
 }
 
+void ExpireAt(boost::asio::steady_timer *timer, base::TimePoint time) {
+  constexpr base::Duration kLongest = std::chrono::hours(24);
+  base::TimePoint now = base::Clock::now();
+  timer->expires_after(time >= now + kLongest ? kLongest : time - now);
+}
+
 void SleepFor(base::Duration duration) {
   boost::this_fiber::sleep_for(duration);
 }
--- a/src/net/fiber_scheduler.h
+++ b/src/net/fiber_scheduler.h
@@ -4,6 +4,7 @@
 #define WASABIWIND_NET_FIBER_SCHEDULER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <cstddef>
@@ -33,6 +34,12 @@
 /** Suspends the calling fiber. @pre called inside RunFiberThread */
 void SleepFor(base::Duration duration);
 
+/**
+ * Sets a timer to a time of base::Clock, which Asio's timers don't use. A time
+ * further away than a day counts as a day.
+ */
+void ExpireAt(boost::asio::steady_timer *timer, base::TimePoint time);
+
 /** Outcome of one Asio operation. */
 struct IoResult {
   boost::system::error_code m_error;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,11 +3,15 @@
 #include "net/http_client.h"
 
 #include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <cstring>
 #include <deque>
 #include <map>
 #include <optional>
@@ -51,13 +55,17 @@
   DeadlineSocket m_socket;
   beast::flat_buffer m_buffer;
   base::TimePoint m_idle_since;
+  base::milliseconds m_idle_limit{0};  ///< 0: as the pool's options have it
 };
 
 std::string SerializeHead(const Endpoint &endpoint,
                           const HttpRequest &request) {
-  std::string head = fmt::format(
-      "{} {} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n", request.m_method,
-      request.m_target, endpoint.ToString(), request.m_body.size());
+  std::string head =
+      fmt::format("{} {} HTTP/1.1\r\nContent-Length: {}\r\n", request.m_method,
+                  request.m_target, request.m_body.size());
+  if (request.m_headers.Find("Host") == nullptr) {
+    head += fmt::format("Host: {}\r\n", endpoint.ToString());
+  }
   for (const HttpHeader &header : request.m_headers.m_items) {
     head += header.m_name;
     head += ": ";
@@ -68,6 +76,31 @@
   return head;
 }
 
+/**
+ * Reads the idle time that an answer's Keep-Alive header states.
+ * @return half of it, so that a request doesn't cross the peer's close; 0 if
+ *         none is stated
+ */
+base::milliseconds GetIdleLimit(const ResponseParser &parser) {
+  beast::string_view field = parser.get()[http::field::keep_alive];
+  std::string text(field.data(), field.size());
+  std::size_t start = text.find("timeout=");
+  if (start == std::string::npos) return base::milliseconds(0);
+  start += std::strlen("timeout=");
+  int seconds = 0;
+  auto parsed =
+      std::from_chars(text.data() + start, text.data() + text.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0) return base::milliseconds(0);
+  return base::milliseconds(std::max(1, seconds * 500));
+}
+
+void SetUserTimeout(tcp::socket *socket, base::milliseconds timeout) {
+  if (timeout.count() == 0) return;
+  auto value = static_cast<unsigned int>(timeout.count());
+  (void)::setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                     &value, sizeof(value));
+}
+
 /** @return whether a pooled connection is still open and has no stray data. */
 bool IsUsable(ClientConnection *connection) {
   tcp::socket &socket = connection->m_socket.Socket();
@@ -93,12 +126,16 @@
     const Endpoint &endpoint) {
   auto found = m_idle.find(endpoint);
   if (found == m_idle.end()) return nullptr;
-  base::TimePoint oldest = base::Clock::now() - m_options.m_idle_timeout;
+  base::TimePoint now = base::Clock::now();
   while (!found->second.empty()) {
     std::unique_ptr<ClientConnection> connection =
         std::move(found->second.back());
     found->second.pop_back();
-    if (connection->m_idle_since >= oldest && IsUsable(connection.get())) {
+    base::milliseconds limit = connection->m_idle_limit.count() == 0
+                                   ? m_options.m_idle_timeout
+                                   : connection->m_idle_limit;
+    bool is_fresh = now - connection->m_idle_since <= limit;
+    if (is_fresh && IsUsable(connection.get())) {
       return connection;
     }
   }
@@ -155,6 +192,7 @@
     // Takes as much of the body at once as has arrived.
     m_parser.eager(true);
     m_has_head = true;
+    m_connection->m_idle_limit = GetIdleLimit(m_parser);
     HttpResponse response;
     response.m_status = m_parser.get().result_int();
     for (const auto &field : m_parser.get()) {
@@ -256,6 +294,7 @@
   StartResult start;
   std::unique_ptr<ClientConnection> connection;
   if (reuse == Reuse::kPooled) connection = m_impl->TakeIdle(endpoint);
+  start.m_is_reused = connection != nullptr;
   if (connection == nullptr) {
     connection = std::make_unique<ClientConnection>(CurrentIoContext());
     beast::error_code error;
@@ -270,6 +309,8 @@
       return start;
     }
     connection->m_socket.Socket().set_option(tcp::no_delay(true), error);
+    SetUserTimeout(&connection->m_socket.Socket(),
+                   m_impl->m_options.m_user_timeout);
   }
   std::string head = SerializeHead(endpoint, request);
   IoResult sent = connection->m_socket.WriteAll(
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -18,6 +18,11 @@
   base::milliseconds m_idle_timeout{20'000};  ///< pooled connections
   std::size_t m_max_idle_per_endpoint = 64;
   std::size_t m_max_header_bytes = 64 * 1024;
+  /**
+   * Time after which unacknowledged bytes end a connection, so that nothing
+   * arrives after a partition that outlasted it. 0: as the system has it.
+   */
+  base::milliseconds m_user_timeout{0};
 };
 
 /** What is known of a request whose exchange failed. */
@@ -84,11 +89,12 @@
     std::unique_ptr<HttpCall> m_call;  ///< nullptr on error
     base::Error m_error;
     SendState m_send_state = SendState::kNothingSent;
+    bool m_is_reused = false;  ///< sent on a connection used before
   };
 
   /**
-   * Connects or takes a pooled connection and sends a request. Host and
-   * Content-Length headers are added.
+   * Connects or takes a pooled connection and sends a request. Host, unless
+   * the request has one, and Content-Length are added.
    * @pre called inside RunFiberThread
    */
   StartResult Start(const Endpoint &endpoint, const HttpRequest &request,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -154,6 +154,7 @@
     pollfd state{socket.native_handle(), POLLRDHUP, 0};
     if (::poll(&state, 1, /*timeout=*/0) <= 0) return false;
     if ((state.revents & (POLLERR | POLLHUP)) != 0) return true;
+    if (m_options.m_is_half_closed_gone) return true;
     if (m_started || m_probed) return false;
     m_probed = true;
     constexpr std::string_view kProbe = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -267,6 +268,7 @@
   std::uint16_t m_port = 0;
   /** Listens from Listen on; the first thread inside Serve takes it over. */
   std::atomic<int> m_first_socket = -1;
+  std::atomic<base::milliseconds> m_idle_timeout;
   std::atomic<bool> m_draining = false;
   std::atomic<bool> m_stopped = false;
   std::atomic<std::size_t> m_connections = 0;
@@ -320,6 +322,7 @@
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_options = std::move(options);
+  m_impl->m_idle_timeout = m_impl->m_options.m_idle_timeout;
   m_impl->m_handler = std::move(handler);
 }
 
@@ -340,6 +343,10 @@
 
 std::uint16_t HttpServer::Port() const { return m_impl->m_port; }
 
+void HttpServer::SetIdleTimeout(base::milliseconds timeout) {
+  m_impl->m_idle_timeout = timeout;
+}
+
 void HttpServer::BeginDrain() { m_impl->m_draining = true; }
 
 std::size_t HttpServer::ActiveRequests() const { return m_impl->m_active; }
@@ -420,7 +427,7 @@
     connection->m_idle = true;
     if (m_stopped) return false;
     beast::error_code error = ReceiveMore(
-        connection, parser, base::Clock::now() + m_options.m_idle_timeout);
+        connection, parser, base::Clock::now() + m_idle_timeout.load());
     connection->m_idle = false;
     if (error) return false;
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -80,6 +80,8 @@
   base::milliseconds m_header_timeout{10'000};  ///< first byte to last header
   base::milliseconds m_body_timeout{30'000};
   base::milliseconds m_write_timeout{30'000};  ///< one write to a slow caller
+  /** Whether a caller that closed its sending side counts as gone. */
+  bool m_is_half_closed_gone = false;
 };
 
 /**
@@ -112,6 +114,9 @@
    */
   void Serve();
 
+  /** Changes the time after which an idle connection closes. Thread-safe. */
+  void SetIdleTimeout(base::milliseconds timeout);
+
   /** From now on each answer closes its connection. Thread-safe. */
   void BeginDrain();
 
--- a/src/net/message_transport.cpp
+++ b/src/net/message_transport.cpp
@@ -24,8 +24,11 @@
 
 namespace asio = boost::asio;
 
-constexpr int kHeartbeatIntervalMs = 1'000;
-constexpr int kHeartbeatTimeoutMs = 3'000;
+constexpr int kHeartbeatIntervalMs = 500;
+/** Ends a connection that has fallen silent without a reset. */
+constexpr int kHeartbeatTimeoutMs = 1'500;
+/** Without it, an attempt made during a partition hangs for minutes. */
+constexpr int kConnectTimeoutMs = 1'000;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 1'000;
 /** A message to a peer that isn't connected yet waits this long. */
@@ -146,6 +149,7 @@
   SetOption(socket, ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs);
   SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatIntervalMs);
   SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+  SetOption(socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
   if (zmq_connect(socket, ToZmqAddress(endpoint).c_str()) != 0) {
     zmq_close(socket);
     return nullptr;
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -11,12 +11,15 @@
 #include "base/settings_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/program_func.h"
+#include "net/settings_watch.h"
 
 ABSL_FLAG(std::string, config, "", "path of the INI settings file");
 ABSL_FLAG(bool, check, false, "check the settings file and exit");
 
 namespace wasabiwind::net {
 
+std::string GetSettingsPath() { return absl::GetFlag(FLAGS_config); }
+
 std::optional<int> InitializeProgram(int argc, char **argv,
                                      const ProgramInfo &info,
                                      google::protobuf::Message *settings) {
@@ -38,13 +41,21 @@
   return std::nullopt;
 }
 
-void WaitForStopSignal() {
-  boost::asio::signal_set signals(CurrentIoContext(), SIGTERM, SIGINT);
-  IoWaiter waiter;
-  signals.async_wait([&waiter](boost::system::error_code error, int) {
-    waiter.Handler()(error);
-  });
-  waiter.Wait();
+void WaitForStopSignal(const std::function<void()> &on_reload) {
+  boost::asio::signal_set signals(CurrentIoContext(), SIGTERM, SIGINT, SIGHUP);
+  int received = SIGHUP;
+  while (received == SIGHUP) {
+    IoWaiter waiter;
+    signals.async_wait(
+        [&waiter, &received](boost::system::error_code error, int number) {
+          received = error ? SIGTERM : number;
+          waiter.Handler()(error);
+        });
+    waiter.Wait();
+    if (received != SIGHUP) break;
+    base::LogEvent(base::LogLevel::kInfo, "reload_requested");
+    if (on_reload) on_reload();
+  }
 }
 
 HttpHandler MakeAdminHandler(const AdminHooks &hooks) {
--- a/src/net/program_func.h
+++ b/src/net/program_func.h
@@ -27,10 +27,12 @@
                                      google::protobuf::Message *settings);
 
 /**
- * Suspends the calling fiber until SIGTERM or SIGINT.
+ * Suspends the calling fiber until SIGTERM or SIGINT. SIGHUP doesn't end the
+ * program: it means that the settings file may have changed.
+ * @param on_reload called in this fiber after each SIGHUP; may be empty
  * @pre called inside RunFiberThread, on one thread only
  */
-void WaitForStopSignal();
+void WaitForStopSignal(const std::function<void()> &on_reload = {});
 
 /** What the admin endpoints ask the program. Called on the admin thread. */
 struct AdminHooks {
--- a/src/replica/core_base.h
+++ b/src/replica/core_base.h
@@ -27,6 +27,8 @@
   std::size_t m_max_command_bytes = 768 * 1024;
   std::size_t m_max_log_bytes = 64 * 1024 * 1024;  ///< bodies kept in the log
   std::size_t m_max_pending_reads = 10'000;
+  /** Non-voters are promoted while there are fewer voters; 0: always. */
+  std::size_t m_max_voters = 0;
   std::size_t m_quorum_for_test = 0;  ///< planted fault; 0: the majority
 };
 
--- a/src/replica/core_lead.cpp
+++ b/src/replica/core_lead.cpp
@@ -154,6 +154,8 @@
 void PromoteCaughtUp(CoreState *state, Effects *effects) {
   if (!HasCommittedInTerm(*state)) return;
   if (state->m_members_index > state->m_commit_index) return;
+  std::size_t max_voters = state->m_settings.m_max_voters;
+  if (max_voters != 0 && CountVoters(state->m_members) >= max_voters) return;
   for (std::size_t i = 0; i < state->m_members.size(); ++i) {
     const Member &member = state->m_members[i];
     if (member.m_is_voter) continue;
--- a/src/replica/log.cpp
+++ b/src/replica/log.cpp
@@ -134,10 +134,14 @@
   return nullptr;
 }
 
-std::size_t GetQuorumSize(const Members &members) {
+std::size_t CountVoters(const Members &members) {
   std::size_t voters = 0;
   for (const Member &member : members) voters += member.m_is_voter ? 1 : 0;
-  return voters / 2 + 1;
+  return voters;
+}
+
+std::size_t GetQuorumSize(const Members &members) {
+  return CountVoters(members) / 2 + 1;
 }
 
 std::uint64_t HashBytes(const std::string &bytes) {
--- a/src/replica/log_func.h
+++ b/src/replica/log_func.h
@@ -50,6 +50,9 @@
 /** @return the member of that host name, or nullptr. */
 const Member *FindMember(const Members &members, const base::NodeId &host);
 
+/** @return the number of members that vote. */
+std::size_t CountVoters(const Members &members);
+
 /** @return members needed for a majority of the voters. */
 std::size_t GetQuorumSize(const Members &members);
 
--- /dev/null
+++ b/src/routes/table_func.h
@@ -0,0 +1,70 @@
+/** @file table_func.h Checks of a route table and lookups in it. */
+
+#ifndef WASABIWIND_ROUTES_TABLE_FUNC_H_
+#define WASABIWIND_ROUTES_TABLE_FUNC_H_
+
+#include <absl/container/flat_hash_map.h>
+#include <routes.pb.h>
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error_type.h"
+
+namespace wasabiwind::routes {
+
+/**
+ * Checks a table as a whole. Thread-safe.
+ * @return kInvalidArgument, naming the route: an unknown service, two routes
+ *         at the same place, no weight at all, or a zero timeout
+ */
+base::Result<void> CheckRouteTable(const gen::RouteTable &table);
+
+/**
+ * A table with indexes for the request path. Immutable after MakeRouteIndex,
+ * so that threads may share it.
+ */
+struct RouteIndex {
+  gen::RouteTable m_table;
+  /** Routes of a host in lower case, those with longer prefixes first. */
+  absl::flat_hash_map<std::string, std::vector<const gen::Route *>> m_by_host;
+  absl::flat_hash_map<std::string, const gen::RoutedService *> m_services;
+  /** Models by "service/model". */
+  absl::flat_hash_map<std::string, const gen::HostedModel *> m_models;
+};
+
+using RouteIndexPtr = std::shared_ptr<const RouteIndex>;
+
+RouteIndexPtr MakeRouteIndex(gen::RouteTable table);
+
+/**
+ * @param host value of a Host header, with or without port
+ * @return the route with the longest prefix of a path, or nullptr
+ */
+const gen::Route *FindRoute(const RouteIndex &index, std::string_view host,
+                            std::string_view path);
+
+/** @return a service, or nullptr. */
+const gen::RoutedService *FindService(const RouteIndex &index,
+                                      const std::string &service);
+
+/** @return a model of a service, or nullptr. */
+const gen::HostedModel *FindModel(const RouteIndex &index,
+                                  const std::string &service,
+                                  const std::string &model);
+
+/**
+ * Chooses the service of a request by the weights of its route.
+ * @param draw a random number
+ * @pre the table passed CheckRouteTable
+ */
+const std::string &ChooseService(const gen::Route &route, std::uint64_t draw);
+
+/** @return whether a request of the route may run more than once. */
+bool IsRepeatable(const gen::Route &route);
+
+}  // namespace wasabiwind::routes
+
+#endif  // WASABIWIND_ROUTES_TABLE_FUNC_H_
--- a/src/standin/timer.cpp
+++ b/src/standin/timer.cpp
@@ -9,7 +9,8 @@
 
 void SleepUntil(base::TimePoint time) {
   if (time <= base::Clock::now()) return;
-  boost::asio::steady_timer timer(net::CurrentIoContext(), time);
+  boost::asio::steady_timer timer(net::CurrentIoContext());
+  net::ExpireAt(&timer, time);
   net::Await([&timer](auto handler) { timer.async_wait(handler); });
 }
 
