Reserve room for loads whose outcome isn't known

The status now reserves what it lists. Also: an order without answer keeps its room after a conflict; unloading an unused adapter counts as an accepted order; a status that may be older than the last order isn't used.

Ruled out: two orders accepted under one expected count (the runner's count never moved by more than one an order).

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -17,8 +17,12 @@
 /** A report of waiting requests counts for this long. */
 constexpr base::milliseconds kWaitingLifetime{1'500};
 /** A runner's report may be older than its arrival by this much. */
-constexpr base::milliseconds kReportLag{700};
-constexpr base::milliseconds kConflictPause{250};
+constexpr base::milliseconds kReportLag{3'000};
+/** So many reports after a change, one of them was surely made after it. */
+constexpr std::uint64_t kLateReports = 3;
+/** A runner's status may be older than its arrival by this much. */
+constexpr base::milliseconds kStatusLag{450};
+constexpr base::milliseconds kConflictPause = kStatusLag;
 constexpr base::milliseconds kRefusalPause{5'000};
 constexpr base::milliseconds kUnknownPause{150};
 /** A load in progress is asked for when it is late by this much. */
@@ -40,11 +44,33 @@
   demand->m_rate += arrivals / kRateSeconds;
 }
 
-/** Drops changes that a report made after them must show. */
-void DropReportedChanges(std::map<std::string, base::TimePoint> *changes,
-                         base::TimePoint now) {
-  std::erase_if(*changes, [now](const auto &item) {
-    return now >= item.second + kReportLag;
+bool ReportsTarget(const gen::UpstreamReport &report,
+                   const std::string &target) {
+  std::size_t slash = target.find('/');
+  std::string model = target.substr(0, slash);
+  for (const gen::ResidentModel &held : report.models()) {
+    if (held.name() != model) continue;
+    if (slash == std::string::npos) return true;
+    std::string adapter = target.substr(slash + 1);
+    return std::find(held.adapters().begin(), held.adapters().end(),
+                     adapter) != held.adapters().end();
+  }
+  return false;
+}
+
+/**
+ * Drops changes that the runner's report shows, and those that several reports
+ * haven't shown.
+ * @param is_loaded whether the changes are loads
+ */
+void DropReported(UnreportedChanges *changes, const gen::UpstreamReport &report,
+                  bool is_loaded, base::TimePoint now) {
+  std::erase_if(*changes, [&](const auto &item) {
+    const UnreportedChange &change = item.second;
+    if (report.report_number() <= change.m_report_number) return false;
+    if (ReportsTarget(report, item.first) == is_loaded) return true;
+    return now >= change.m_at + kReportLag &&
+           report.report_number() >= change.m_report_number + kLateReports;
   });
 }
 
@@ -124,8 +150,9 @@
   FinishByReport(book, report, now);
   if (book->m_report_number != report.report_number()) {
     book->m_report_number = report.report_number();
-    DropReportedChanges(&book->m_loaded, now);
-    DropReportedChanges(&book->m_unloaded, now);
+    DropReported(&book->m_loaded, report, /*is_loaded=*/true, now);
+    DropReported(&book->m_maybe_loaded, report, /*is_loaded=*/true, now);
+    DropReported(&book->m_unloaded, report, /*is_loaded=*/false, now);
   }
   std::erase_if(book->m_refused, [now](const auto &item) {
     return now >= item.second + kRefusalPause;
@@ -137,30 +164,40 @@
 
 namespace {
 
+UnreportedChange MakeChange(const RunnerBook &book, base::TimePoint now) {
+  return UnreportedChange{now, book.m_report_number};
+}
+
+void CountAccepted(RunnerBook *book) {
+  if (!book->m_accepted) return;
+  ++*book->m_accepted;
+  book->m_least_accepted = *book->m_accepted;
+}
+
 /** Takes in that a runner accepted an order, or had nothing to do. */
 void RecordAccepted(RunnerBook *book, const PlannedOrder &order,
                     bool was_started, base::TimePoint now) {
   std::string target = MakeTarget(order.m_model, order.m_adapter);
   bool is_model = order.m_adapter.empty();
-  if (was_started && book->m_accepted) ++*book->m_accepted;
+  // An unused adapter leaves at once, which is answered like an order that
+  // changes nothing but counts as accepted.
+  if (was_started || (!is_model && !order.m_is_load)) CountAccepted(book);
   if (was_started && is_model) return;  // the report shows its end
   if (is_model) book->m_in_progress.reset();
   if (order.m_is_load) {
     book->m_unloaded.erase(target);
-    book->m_loaded[target] = now;
+    book->m_loaded[target] = MakeChange(*book, now);
     book->m_used[target] = now;
     return;
   }
   book->m_loaded.erase(target);
   if (was_started) {
     // The adapter is still in use and leaves later.
+    book->m_unloaded.erase(target);
     book->m_refused[target] = now;
     return;
   }
-  book->m_unloaded[target] = now;
-  // An adapter that leaves at once is answered as one that isn't there; only
-  // the first counts as an accepted order.
-  book->m_accepted.reset();
+  book->m_unloaded[target] = MakeChange(*book, now);
 }
 
 /** Takes back what was assumed when an order was planned. */
@@ -178,8 +215,10 @@
   auto found = planner->m_books.find(order.m_upstream);
   if (found == planner->m_books.end()) return;
   RunnerBook &book = found->second;
+  bool was_in_doubt = book.m_in_doubt.has_value();
   book.m_is_calling = false;
   book.m_in_doubt.reset();
+  book.m_ordered_at = now;
   switch (outcome) {
     case OrderOutcome::kStarted:
       RecordAccepted(&book, order, /*was_started=*/true, now);
@@ -190,6 +229,11 @@
     case OrderOutcome::kConflict:
       book.m_accepted.reset();
       book.m_retry_at = now + kConflictPause;
+      if (was_in_doubt && order.m_is_load) {
+        // The order without answer may be the one that was accepted.
+        book.m_maybe_loaded[MakeTarget(order.m_model, order.m_adapter)] =
+            MakeChange(book, now);
+      }
       break;
     case OrderOutcome::kRefused:
       book.m_refused[MakeTarget(order.m_model, order.m_adapter)] = now;
@@ -221,14 +265,32 @@
     book.m_retry_at = now + kConflictPause;
     return;
   }
+  if (now < book.m_ordered_at + kStatusLag ||
+      status.m_accepted < book.m_least_accepted) {
+    // The status may be older than the last order.
+    book.m_retry_at = now + kStatusLag;
+    return;
+  }
   book.m_accepted = status.m_accepted;
+  book.m_least_accepted = status.m_accepted;
   book.m_retry_at = now;
+  // The last report known here may be older than the status, for instance
+  // after a partition of the control hosts.
+  for (const std::string &target : status.m_targets) {
+    bool is_known =
+        book.m_loaded.contains(target) || book.m_unloaded.contains(target);
+    if (!is_known) book.m_maybe_loaded[target] = MakeChange(book, now);
+  }
   if (status.m_is_busy) {
     if (!book.m_in_progress) book.m_in_progress = OrderInProgress();
     book.m_in_progress->m_ends_at = now + kUnknownBusy;
-  } else {
-    book.m_in_progress.reset();
+    return;
   }
+  // What an order of another host loaded is known with the next reports.
+  bool was_unknown =
+      book.m_in_progress && book.m_in_progress->m_model.empty();
+  if (was_unknown) book.m_retry_at = now + kUnknownBusy;
+  book.m_in_progress.reset();
 }
 
 void ResetBooks(ResidencyPlanner *planner) { planner->m_books.clear(); }
--- a/src/fleet/residency_func.h
+++ b/src/fleet/residency_func.h
@@ -55,6 +55,7 @@
   std::uint64_t m_born_ms = 0;  ///< 0 if it didn't say
   std::uint64_t m_accepted = 0;
   bool m_is_busy = false;
+  std::vector<std::string> m_targets;  ///< held or on their way
 };
 
 /** Takes in the answer of a query that PlanResidency asked for. */
--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -43,6 +43,7 @@
   RunnerBook *m_book = nullptr;
   std::set<std::string> m_models;    ///< that serve requests
   std::set<std::string> m_adapters;  ///< targets MODEL/ADAPTER in its slots
+  std::size_t m_reserved_slots = 0;  ///< for adapters that may have come
   double m_used_mb = 0;              ///< held, or reserved by an order
 };
 
@@ -91,11 +92,18 @@
       runner->m_adapters.insert(MakeTarget(held.name(), adapter));
     }
   }
-  for (const auto &[target, at] : book.m_loaded) {
+  for (const auto &[target, change] : book.m_loaded) {
     bool is_model = target.find('/') == std::string::npos;
     (is_model ? reserved : runner->m_adapters).insert(target);
   }
   runner->m_models = reserved;
+  for (const auto &[target, change] : book.m_maybe_loaded) {
+    bool is_model = target.find('/') == std::string::npos;
+    if (is_model) reserved.insert(target);
+    if (!is_model && !runner->m_adapters.contains(target)) {
+      ++runner->m_reserved_slots;
+    }
+  }
   for (const auto &[target, at] : book.m_unloaded) {
     runner->m_models.erase(target);
     runner->m_adapters.erase(target);
@@ -135,7 +143,7 @@
     known.insert(id);
     RunnerBook &book = pass->m_planner->m_books[id];
     RefreshBook(&book, entry, pass->m_now);
-    Runner runner{id, &entry, service, &book, {}, {}, 0};
+    Runner runner{id, &entry, service, &book, {}, {}, 0, 0};
     CollectHeld(*pass, &runner);
     pass->m_runners.push_back(std::move(runner));
   }
@@ -334,7 +342,7 @@
     }
     if (!order.m_is_load) {
       book->m_unloaded[MakeTarget(order.m_model, order.m_adapter)] =
-          pass->m_now;
+          UnreportedChange{pass->m_now, book->m_report_number};
     }
   }
   if (order.m_is_from_store) {
@@ -551,13 +559,14 @@
     if (HoldsAdapter(*pass, demand.m_key)) continue;
     Runner *runner = ChooseAdapterRunner(pass, demand.m_key);
     if (runner == nullptr || runner->m_book->m_in_doubt) continue;
-    if (!CanCall(*pass, *runner)) continue;
+    // A runner refuses orders while it loads or unloads a model.
+    if (runner->m_book->m_in_progress || !CanCall(*pass, *runner)) continue;
     PlannedOrder order;
     order.m_reason = "requests_wait";
     order.m_model = demand.m_key.m_model;
     order.m_adapter = demand.m_key.m_adapter;
     std::size_t slots = runner->m_service->engine().adapter_slots();
-    if (runner->m_adapters.size() >= slots) {
+    if (runner->m_adapters.size() + runner->m_reserved_slots >= slots) {
       std::string victim = ChooseAdapterVictim(*runner);
       if (victim.empty()) continue;
       std::size_t slash = victim.find('/');
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -68,6 +68,14 @@
   const char *m_reason = "";
 };
 
+/** A change at a runner that its reports may not show yet. */
+struct UnreportedChange {
+  base::TimePoint m_at;
+  std::uint64_t m_report_number = 0;  ///< of the last report before it
+};
+
+using UnreportedChanges = std::map<std::string, UnreportedChange>;
+
 /** What the holder of the orders knows of one start of a runner. */
 struct RunnerBook {
   std::uint64_t m_born_ms = 0;
@@ -76,11 +84,15 @@
   std::optional<OrderInProgress> m_in_progress;
   std::optional<PlannedOrder> m_in_doubt;  ///< sent without answer
   std::optional<Intention> m_intention;
-  std::map<std::string, base::TimePoint> m_loaded;    ///< targets
-  std::map<std::string, base::TimePoint> m_unloaded;  ///< targets
+  std::uint64_t m_least_accepted = 0;  ///< orders surely accepted
+  UnreportedChanges m_loaded;    ///< targets
+  UnreportedChanges m_unloaded;  ///< targets
+  /** Targets whose load may have been accepted: they take up room. */
+  UnreportedChanges m_maybe_loaded;
   std::map<std::string, base::TimePoint> m_used;      ///< targets
   std::map<std::string, base::TimePoint> m_refused;   ///< targets
   base::TimePoint m_retry_at;  ///< no order before this time
+  base::TimePoint m_ordered_at;  ///< answer to the last order
   std::uint64_t m_report_number = 0;
   std::uint64_t m_published = 0;  ///< hash of the residency last published
 };
--- a/src/fleet_control/placer.cpp
+++ b/src/fleet_control/placer.cpp
@@ -56,6 +56,18 @@
   return OrderOutcome::kUnknown;
 }
 
+std::vector<std::string> ListTargets(const RunnerStatus &status) {
+  std::vector<std::string> targets(status.m_pending_adapters.begin(),
+                                   status.m_pending_adapters.end());
+  for (const gen::ResidentModel &model : status.m_models) {
+    targets.push_back(model.name());
+    for (const std::string &adapter : model.adapters()) {
+      targets.push_back(fleet::MakeTarget(model.name(), adapter));
+    }
+  }
+  return targets;
+}
+
 void CountOrder(const char *outcome) {
   base::GetCounter("ww_orders_total", "Orders to runners by their outcome",
                    {{"outcome", outcome}})
@@ -156,6 +168,7 @@
       facts.m_born_ms = status->m_born_ms;
       facts.m_accepted = status->m_accepted_orders;
       facts.m_is_busy = status->m_is_busy;
+      facts.m_targets = ListTargets(*status);
     } else {
       LogEvent(LogLevel::kWarn, "status_unanswered",
                {{"upstream", upstream}, {"error", status.error().ToString()}});
