Keep adapters in use, load adapters ahead, and tell control of unreachable runners

Entry hosts now report targets with runs and upstreams without connection; the planner spares adapters in use, adds copies for adapters in demand and fills free slots ahead; requests wait up to 3 s for a first table; the last attempt that a route allows isn't given up as late.

Ruled out: a stuck order (the runner's count of accepted orders had moved).

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 /** Time constant of the mean rate of requests. */
-constexpr double kRateSeconds = 8.0;
+constexpr double kRateSeconds = 6.0;
 /** A report of waiting requests counts for this long. */
 constexpr base::milliseconds kWaitingLifetime{1'500};
 /** A runner's report may be older than its arrival by this much. */
@@ -52,8 +52,8 @@
     if (held.name() != model) continue;
     if (slash == std::string::npos) return true;
     std::string adapter = target.substr(slash + 1);
-    return std::find(held.adapters().begin(), held.adapters().end(),
-                     adapter) != held.adapters().end();
+    return std::find(held.adapters().begin(), held.adapters().end(), adapter) !=
+           held.adapters().end();
   }
   return false;
 }
@@ -96,6 +96,9 @@
 
 void RecordUse(ResidencyPlanner *planner, const gen::UseReport &report,
                base::TimePoint now) {
+  for (const std::string &upstream : report.unreachable()) {
+    planner->m_unreachable[upstream] = now;
+  }
   for (const gen::TargetUse &use : report.uses()) {
     TargetKey key{use.service(), use.model(), use.adapter()};
     TargetDemand &demand = planner->m_demands[key];
@@ -287,8 +290,7 @@
     return;
   }
   // What an order of another host loaded is known with the next reports.
-  bool was_unknown =
-      book.m_in_progress && book.m_in_progress->m_model.empty();
+  bool was_unknown = book.m_in_progress && book.m_in_progress->m_model.empty();
   if (was_unknown) book.m_retry_at = now + kUnknownBusy;
   book.m_in_progress.reset();
 }
--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -30,6 +30,15 @@
 constexpr double kEvictionMs = 200.0;
 constexpr base::milliseconds kIntentionLifetime{15'000};
 constexpr base::milliseconds kUnloadEstimate{1'000};
+/** A runner that an entry host couldn't reach gets no orders for so long. */
+constexpr base::milliseconds kUnreachableTime{1'500};
+/** A target used within this time may have runs, which an unload waits for. */
+constexpr base::milliseconds kInUse{1'300};
+constexpr double kInUseMs = 1'500.0;
+/** Adapters of a model asked for by more than this rate keep a slot. */
+constexpr double kAdapterRate = 0.05;
+/** Models with less demand get no adapters ahead of requests. */
+constexpr double kAheadRate = 0.3;
 /** Added to the load window, for orders that travel at different speeds. */
 constexpr base::milliseconds kLoadWindowMargin{1'000};
 
@@ -132,6 +141,9 @@
 /** Lists the runners that may get orders and refreshes their books. */
 void CollectRunners(Pass *pass) {
   std::set<std::string> known;
+  std::erase_if(pass->m_planner->m_unreachable, [pass](const auto &item) {
+    return pass->m_now >= item.second + kUnreachableTime;
+  });
   for (const auto &[id, entry] : pass->m_view->m_upstreams) {
     const gen::RoutedService *service =
         routes::FindService(*pass->m_routes, entry.m_report.service());
@@ -139,7 +151,7 @@
     bool is_usable = IsServing(*pass->m_view, entry) &&
                      !entry.m_report.has_end() &&
                      !IsSilent(*pass->m_view, entry.m_silence, pass->m_now);
-    if (!is_usable) continue;
+    if (!is_usable || pass->m_planner->m_unreachable.contains(id)) continue;
     known.insert(id);
     RunnerBook &book = pass->m_planner->m_books[id];
     RefreshBook(&book, entry, pass->m_now);
@@ -211,11 +223,40 @@
   return std::max(kUnknownRate, GetRate(*pass.m_planner, key, pass.m_now));
 }
 
+/** @return adapters of a model that are asked for again and again. */
+std::size_t CountAskedAdapters(const Pass &pass, const TargetKey &key) {
+  std::size_t count = 0;
+  auto found = pass.m_planner->m_demands.upper_bound(key);
+  for (; found != pass.m_planner->m_demands.end(); ++found) {
+    if (found->first.m_service != key.m_service ||
+        found->first.m_model != key.m_model) {
+      break;
+    }
+    if (GetRate(*pass.m_planner, found->first, pass.m_now) > kAdapterRate) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+/** @return copies that bear the requests and hold the adapters in demand. */
 int GetNeededCopies(const Pass &pass, const TargetKey &key) {
-  double rate = GetModelRate(pass, key);
+  double for_rate =
+      GetModelRate(pass, key) / pass.m_planner->m_settings.m_requests_per_copy;
+  const gen::RoutedService *service =
+      routes::FindService(*pass.m_routes, key.m_service);
+  double slots = std::max(1u, service->engine().adapter_slots());
+  double for_adapters =
+      static_cast<double>(CountAskedAdapters(pass, key)) / slots;
   return std::max(
-      1, static_cast<int>(
-             std::ceil(rate / pass.m_planner->m_settings.m_requests_per_copy)));
+      1, static_cast<int>(std::ceil(std::max(for_rate, for_adapters))));
+}
+
+bool IsInUse(const Pass &pass, const Runner &runner,
+             const std::string &target) {
+  auto used = runner.m_book->m_used.find(target);
+  return used != runner.m_book->m_used.end() &&
+         pass.m_now < used->second + kInUse;
 }
 
 bool IsWaitedFor(const Pass &pass, const TargetKey &key) {
@@ -244,6 +285,7 @@
   } else {
     cost = rate * kHorizonSeconds * kNeededCopyMs;
   }
+  if (IsInUse(pass, runner, model)) cost += kInUseMs;
   auto used = runner.m_book->m_used.find(model);
   bool is_fresh = used != runner.m_book->m_used.end() &&
                   pass.m_now < used->second + kFreshCopy;
@@ -509,17 +551,24 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+bool HasFreeSlot(const Runner &runner) {
+  return runner.m_adapters.size() + runner.m_reserved_slots <
+         runner.m_service->engine().adapter_slots();
+}
+
 /** Chooses the copy of a model that shall get an adapter. */
 Runner *ChooseAdapterRunner(Pass *pass, const TargetKey &key) {
   Runner *best = nullptr;
-  auto best_order = std::make_tuple(true, std::uint64_t{0});
+  auto best_order = std::make_tuple(true, true, std::uint64_t{0});
   std::string target = MakeTarget(key.m_model, key.m_adapter);
   for (Runner &runner : pass->m_runners) {
     if (runner.m_service->name() != key.m_service) continue;
     if (!runner.m_models.contains(key.m_model)) continue;
     if (runner.m_book->m_refused.contains(target)) continue;
     bool is_busy = runner.m_book->m_in_progress.has_value();
-    auto order = std::make_tuple(is_busy, HashPair(runner.m_id, target));
+    bool is_full = !HasFreeSlot(runner);
+    auto order =
+        std::make_tuple(is_busy, is_full, HashPair(runner.m_id, target));
     if (best != nullptr && order >= best_order) continue;
     best = &runner;
     best_order = order;
@@ -528,11 +577,13 @@
 }
 
 /** @return the adapter in a runner's slots that was used least lately. */
-std::string ChooseAdapterVictim(const Runner &runner) {
+std::string ChooseAdapterVictim(const Pass &pass, const Runner &runner) {
   std::string victim;
   base::TimePoint oldest = base::TimePoint::max();
   for (const std::string &target : runner.m_adapters) {
+    // An unload of an adapter in use keeps the runner busy for seconds.
     if (runner.m_book->m_refused.contains(target)) continue;
+    if (IsInUse(pass, runner, target)) continue;
     auto used = runner.m_book->m_used.find(target);
     base::TimePoint at =
         used == runner.m_book->m_used.end() ? base::TimePoint() : used->second;
@@ -565,9 +616,8 @@
     order.m_reason = "requests_wait";
     order.m_model = demand.m_key.m_model;
     order.m_adapter = demand.m_key.m_adapter;
-    std::size_t slots = runner->m_service->engine().adapter_slots();
-    if (runner->m_adapters.size() + runner->m_reserved_slots >= slots) {
-      std::string victim = ChooseAdapterVictim(*runner);
+    if (!HasFreeSlot(*runner)) {
+      std::string victim = ChooseAdapterVictim(*pass, *runner);
       if (victim.empty()) continue;
       std::size_t slash = victim.find('/');
       order.m_is_load = false;
@@ -578,6 +628,44 @@
   }
 }
 
+/** @return an adapter of a model that no copy holds, "" if there is none. */
+std::string FindMissingAdapter(const Pass &pass, const TargetKey &key,
+                               const gen::HostedModel &model) {
+  for (std::uint32_t i = 1; i <= model.adapters(); ++i) {
+    std::string name = "a" + std::to_string(i);
+    if (!HoldsAdapter(pass, TargetKey{key.m_service, key.m_model, name})) {
+      return name;
+    }
+  }
+  return "";
+}
+
+/** Fills free slots of runners with adapters of the models in demand. */
+void PlaceAdaptersAhead(Pass *pass) {
+  for (Runner &runner : pass->m_runners) {
+    RunnerBook &book = *runner.m_book;
+    bool is_free = HasFreeSlot(runner) && CanCall(*pass, runner) &&
+                   !book.m_in_progress && !book.m_in_doubt && !book.m_intention;
+    if (!is_free) continue;
+    for (const std::string &name : runner.m_models) {
+      TargetKey key{runner.m_service->name(), name, ""};
+      const gen::HostedModel *model =
+          routes::FindModel(*pass->m_routes, key.m_service, name);
+      if (model == nullptr || model->adapters() == 0) continue;
+      if (GetRate(*pass->m_planner, key, pass->m_now) < kAheadRate) continue;
+      PlannedOrder order;
+      order.m_reason = "ahead";
+      order.m_model = name;
+      order.m_adapter = FindMissingAdapter(*pass, key, *model);
+      if (order.m_adapter.empty()) continue;
+      // Counts at once, so that another copy takes another adapter.
+      runner.m_adapters.insert(MakeTarget(name, order.m_adapter));
+      Emit(pass, &runner, std::move(order));
+      break;
+    }
+  }
+}
+
 void PublishChanges(Pass *pass, std::uint64_t term) {
   for (auto &[id, book] : pass->m_planner->m_books) {
     gen::Residency residency = MakeResidency(book, id);
@@ -608,6 +696,7 @@
   PlaceAhead(&pass);
   for (Runner &runner : pass.m_runners) AdvanceIntention(&pass, &runner);
   PlaceAdapters(&pass);
+  PlaceAdaptersAhead(&pass);
   PublishChanges(&pass, term);
   return actions;
 }
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -85,13 +85,13 @@
   std::optional<PlannedOrder> m_in_doubt;  ///< sent without answer
   std::optional<Intention> m_intention;
   std::uint64_t m_least_accepted = 0;  ///< orders surely accepted
-  UnreportedChanges m_loaded;    ///< targets
-  UnreportedChanges m_unloaded;  ///< targets
+  UnreportedChanges m_loaded;          ///< targets
+  UnreportedChanges m_unloaded;        ///< targets
   /** Targets whose load may have been accepted: they take up room. */
   UnreportedChanges m_maybe_loaded;
-  std::map<std::string, base::TimePoint> m_used;      ///< targets
-  std::map<std::string, base::TimePoint> m_refused;   ///< targets
-  base::TimePoint m_retry_at;  ///< no order before this time
+  std::map<std::string, base::TimePoint> m_used;     ///< targets
+  std::map<std::string, base::TimePoint> m_refused;  ///< targets
+  base::TimePoint m_retry_at;    ///< no order before this time
   base::TimePoint m_ordered_at;  ///< answer to the last order
   std::uint64_t m_report_number = 0;
   std::uint64_t m_published = 0;  ///< hash of the residency last published
@@ -101,13 +101,15 @@
   base::milliseconds m_load_window{5'000};  ///< over which loads are counted
   std::size_t m_store_loads = 4;            ///< at once, for waiting requests
   std::size_t m_background_loads = 2;       ///< at once, ahead of requests
-  double m_requests_per_copy = 4.0;         ///< a second, that one copy bears
+  double m_requests_per_copy = 3.0;         ///< a second, that one copy bears
 };
 
 /** Not thread-safe. */
 struct ResidencyPlanner {
   ResidencySettings m_settings;
   std::map<TargetKey, TargetDemand> m_demands;
+  /** When an entry host last couldn't reach an upstream. */
+  std::map<std::string, base::TimePoint> m_unreachable;
   std::map<std::string, RunnerBook> m_books;  ///< by upstream
   std::deque<base::TimePoint> m_store_loads;  ///< starts
   std::uint64_t m_residency_number = 0;
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -43,6 +43,12 @@
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
+/** @return whether another attempt may follow the one in progress. */
+bool HasAttemptLeft(const RequestScope &scope) {
+  return routes::IsRepeatable(*scope.m_route) &&
+         scope.m_runs + 1 < static_cast<int>(scope.m_route->max_attempts());
+}
+
 /** @return whether a status promises that a request never runs. */
 bool IsPromise(int status) {
   return status == 503 || status == 429 || status == 408 || status == 421;
@@ -145,8 +151,7 @@
                         net::HttpCall *call, net::HttpResponse *head) {
   base::milliseconds late =
       std::max(kLeastLate, choice.m_expected * kLateFactor);
-  bool may_move =
-      routes::IsRepeatable(*scope->m_route) && HasAlternative(*scope, choice);
+  bool may_move = HasAttemptLeft(*scope) && HasAlternative(*scope, choice);
   base::TimePoint limit =
       may_move ? std::min(scope->m_deadline, base::Clock::now() + late)
                : scope->m_deadline;
@@ -234,8 +239,8 @@
   base::milliseconds stall = std::max(kLeastStall, gap * kStallFactor);
   bool is_first = true;
   while (true) {
-    bool may_move = routes::IsRepeatable(*scope->m_route) && !is_first &&
-                    HasAlternative(*scope, choice);
+    bool may_move =
+        HasAttemptLeft(*scope) && !is_first && HasAlternative(*scope, choice);
     base::TimePoint limit = scope->m_deadline;
     if (may_move) limit = std::min(limit, base::Clock::now() + stall);
     std::string bytes;
@@ -292,17 +297,14 @@
   base::TimePoint now = base::Clock::now();
   scope->m_first_at = now;
   bool is_failure = head.m_status >= 500;
-  bool is_final =
-      !is_failure ||
-      scope->m_runs + 1 >= static_cast<int>(scope->m_route->max_attempts());
+
   if (is_failure) {
     RecordFailure(&m_stats[choice.m_upstream], kFailureWeight, now);
   } else {
     RecordSuccess(&m_stats[choice.m_upstream], now - scope->m_sent_at,
                   choice.m_expected, now);
   }
-  bool may_retry =
-      is_failure && !is_final && routes::IsRepeatable(*scope->m_route);
+  bool may_retry = is_failure && HasAttemptLeft(*scope);
   if (may_retry || IsPromise(head.m_status) || scope->m_is_head_sent) {
     // A status that promises that nothing ran would be untrue here.
     EndAttempt(scope, AttemptEnd::kUnknown, "upstream_failed");
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -27,7 +27,6 @@
 constexpr double kAffinityMs = 60.0;
 constexpr double kFailureMs = 400.0;
 constexpr double kSilentMs = 5'000.0;
-constexpr double kDownMs = 20'000.0;
 
 struct Candidate {
   const fleet::UpstreamEntry *m_entry = nullptr;
@@ -89,6 +88,8 @@
       return "no_model";
     case ChoiceProblem::kNoAdapter:
       return "no_adapter";
+    case ChoiceProblem::kDown:
+      return "upstream_down";
     case ChoiceProblem::kAllExcluded:
       return "all_failed";
     case ChoiceProblem::kEnd:
@@ -125,6 +126,10 @@
     }
     Candidate candidate{&entry, FindStats(stats, report, now)};
     const UpstreamStats &known = *candidate.m_stats;
+    if (now < known.m_down_until) {
+      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kDown);
+      continue;
+    }
     std::uint32_t kept =
         CountKeptTokens(known.m_prefixes, facts, request.m_chain_keys);
     std::uint32_t unread =
@@ -136,7 +141,7 @@
                    kAffinityMs * GetAffinity(request, id) +
                    report.cold_left_ms() / 100.0;
     if (is_silent) score += kSilentMs;
-    if (now < known.m_down_until) score += kDownMs;
+
     if (score >= best) continue;
     best = score;
     choice.m_upstream = id;
@@ -147,6 +152,10 @@
     choice.m_expected = base::milliseconds(
         static_cast<int>(GetWorkMs(request, candidate, unread) + trip));
   }
+  // The model must come from elsewhere if those that hold it are down.
+  if (choice.m_problem == ChoiceProblem::kDown && needs_model) {
+    choice.m_problem = ChoiceProblem::kNoModel;
+  }
   if (!choice.m_upstream.empty()) choice.m_problem = ChoiceProblem::kNone;
   return choice;
 }
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -38,6 +38,7 @@
   kNoUpstream,   ///< no upstream of the service serves
   kNoModel,      ///< none of them holds the model
   kNoAdapter,    ///< some hold the model, none the adapter
+  kDown,         ///< those that could take no connection now
   kAllExcluded,  ///< those that could have failed this request already
   kEnd,
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -209,17 +209,34 @@
 void Gateway::SendUse(base::TimePoint now) {
   const std::string &leader = m_follower.m_view.m_leader_endpoint;
   bool is_due = m_must_send_use || now >= m_use_sent_at + kUsePeriod;
-  if (!is_due || leader.empty() || m_uses.m_targets.empty()) return;
-  m_must_send_use = false;
-  m_use_sent_at = now;
+  if (!is_due || leader.empty()) return;
   gen::FleetMessage message;
   gen::UseReport *report = message.mutable_use();
-  *report = TakeUseReport(&m_uses);
+  AddUpstreams(report, now);
+  if (m_uses.m_targets.empty() && report->unreachable_size() == 0) return;
+  m_must_send_use = false;
+  m_use_sent_at = now;
+  TakeUseReport(&m_uses, report);
   report->set_entry(m_self.name());
   report->set_born_ms(m_self.born_ms());
   m_sender(leader, message);
 }
 
+/** Names the upstreams that requests run at or can't reach. */
+void Gateway::AddUpstreams(gen::UseReport *report, base::TimePoint now) {
+  for (RequestScope *scope : m_active) {
+    bool runs_model = scope->m_call != nullptr &&
+                      scope->m_service->has_engine() &&
+                      !scope->m_facts.m_model.empty();
+    if (!runs_model) continue;
+    bool has_adapter = !scope->m_facts.m_adapter.empty();
+    GetCounts(*scope, has_adapter).m_upstreams.insert(scope->m_upstream);
+  }
+  for (const auto &[id, stats] : m_stats) {
+    if (now < stats.m_down_until) report->add_unreachable(id);
+  }
+}
+
 /** Finds callers that have gone and stops their requests. */
 void Gateway::SweepActive() {
   for (RequestScope *scope : m_active) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
 
   // request.cpp
   bool Admit(RequestScope *scope);
+  void WaitForRoutes(RequestScope *scope);
   void Serve(RequestScope *scope);
   bool WaitForChoice(RequestScope *scope, ChoiceProblem problem);
   bool MayRepeat(RequestScope *scope, const char *reason);
@@ -100,6 +101,7 @@
   void AdoptRoutes(gen::RouteTable table);
   void SweepActive();
   void SendUse(base::TimePoint now);
+  void AddUpstreams(gen::UseReport *report, base::TimePoint now);
   void RefreshIdentity();
   route::Budget &GetBudget(const std::string &service);
   void RefillBudgets(base::TimePoint now);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -27,6 +27,9 @@
 constexpr int kMostNotRuns = 4;
 constexpr base::milliseconds kRetryAfter{250};
 constexpr base::milliseconds kDefaultPatience{30'000};
+/** Longest wait for a first table, and share of a request's time. */
+constexpr base::milliseconds kMostStartWait{3'000};
+constexpr double kStartWaitShare = 0.4;
 
 void CountRefusal(const std::string &reason) {
   base::GetCounter("ww_refusals_total", "Requests that this host refused",
@@ -78,10 +81,35 @@
 
 ActiveGuard::~ActiveGuard() { m_gateway->m_active.erase(m_scope); }
 
+/**
+ * Waits for a first table after a start. Control answers within a moment
+ * unless it is starting itself.
+ */
+void Gateway::WaitForRoutes(RequestScope *scope) {
+  base::milliseconds patience =
+      scope->m_facts.m_patience.value_or(kDefaultPatience);
+  auto longest = std::min<base::Duration>(
+      kMostStartWait,
+      std::chrono::duration_cast<base::Duration>(patience * kStartWaitShare));
+  base::TimePoint give_up = scope->m_started + longest;
+  while (m_routes == nullptr && !m_is_stopped) {
+    if (scope->m_exchange->IsPeerGone()) scope->m_is_caller_gone = true;
+    base::TimePoint now = base::Clock::now();
+    if (scope->m_is_caller_gone || now >= give_up) return;
+    std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+    m_view_changed.wait_until(lock, std::min(give_up, now + kWaitStep));
+  }
+}
+
 /** Finds route and service. @return false if the request was answered */
 bool Gateway::Admit(RequestScope *scope) {
   scope->m_facts = m_protocol->m_decode_request(*scope->m_request);
   scope->m_draw = HashId(scope->m_facts.m_id);
+  WaitForRoutes(scope);
+  if (scope->m_is_caller_gone) {
+    scope->m_outcome = "caller_gone";
+    return false;
+  }
   scope->m_routes = m_routes;
   if (m_routes == nullptr) {
     Refuse(scope, 503, "starting", "no routes are known yet; try another host");
--- a/src/gateway/use_func.h
+++ b/src/gateway/use_func.h
@@ -26,11 +26,10 @@
   std::map<fleet::TargetKey, TargetCounts> m_targets;
 };
 
-/** @return what changed or waits, and starts the next period. */
-inline gen::UseReport TakeUseReport(UseCounts *counts) {
-  gen::UseReport report;
+/** Adds what changed or waits to a report, and starts the next period. */
+inline void TakeUseReport(UseCounts *counts, gen::UseReport *report) {
   for (auto &[key, target] : counts->m_targets) {
-    gen::TargetUse *use = report.add_uses();
+    gen::TargetUse *use = report->add_uses();
     use->set_service(key.m_service);
     use->set_model(key.m_model);
     use->set_adapter(key.m_adapter);
@@ -46,7 +45,6 @@
   // A target that waits no more is reported once and then dropped.
   std::erase_if(counts->m_targets,
                 [](const auto &item) { return item.second.m_waiting == 0; });
-  return report;
 }
 
 }  // namespace wasabiwind::gateway
