Spread requests over copies by all shared parts of their prompts

Cause: affinity went by the first shared part alone, of which there are three, so one copy of a busy model got twice the requests of another.

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-/** Time constant of the mean rate of requests. */
+/** Time constants of the mean rates of requests. */
 constexpr double kRateSeconds = 6.0;
+constexpr double kRecentSeconds = 6.0;
 /** A report of waiting requests counts for this long. */
 constexpr base::milliseconds kWaitingLifetime{1'500};
 /** A runner's report may be older than its arrival by this much. */
@@ -29,7 +30,9 @@
 constexpr base::milliseconds kLateBy{1'000};
 constexpr base::milliseconds kUnknownBusy{1'500};
 
-double Decay(double seconds) { return std::exp(-seconds / kRateSeconds); }
+double Decay(double seconds, double constant) {
+  return std::exp(-seconds / constant);
+}
 
 double ToSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -38,10 +41,13 @@
 void AddArrivals(TargetDemand *demand, std::uint32_t arrivals,
                  base::TimePoint now) {
   if (demand->m_rate_at != base::TimePoint()) {
-    demand->m_rate *= Decay(ToSeconds(now - demand->m_rate_at));
+    double seconds = ToSeconds(now - demand->m_rate_at);
+    demand->m_rate *= Decay(seconds, kRateSeconds);
+    demand->m_recent_rate *= Decay(seconds, kRecentSeconds);
   }
   demand->m_rate_at = now;
   demand->m_rate += arrivals / kRateSeconds;
+  demand->m_recent_rate += arrivals / kRecentSeconds;
 }
 
 bool ReportsTarget(const gen::UpstreamReport &report,
@@ -122,7 +128,10 @@
                base::TimePoint now) {
   auto found = planner.m_demands.find(key);
   if (found == planner.m_demands.end()) return 0;
-  return found->second.m_rate * Decay(ToSeconds(now - found->second.m_rate_at));
+  const TargetDemand &demand = found->second;
+  double seconds = ToSeconds(now - demand.m_rate_at);
+  return std::max(demand.m_rate * Decay(seconds, kRateSeconds),
+                  demand.m_recent_rate * Decay(seconds, kRecentSeconds));
 }
 
 std::uint32_t CountWaiting(const TargetDemand &demand, base::TimePoint now) {
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -38,7 +38,8 @@
 
 struct TargetDemand {
   double m_rate = 0;          ///< requests a second, decaying mean
-  base::TimePoint m_rate_at;  ///< time of m_rate
+  double m_recent_rate = 0;   ///< the same over a shorter time
+  base::TimePoint m_rate_at;  ///< time of both rates
   std::map<std::string, WaitingReport> m_waiting;  ///< by entry host
 };
 
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -20,7 +20,7 @@
 /** Time until the first event without queue, prompt and way. */
 constexpr double kFirstEventMs = 25.0;
 /** Each request in work makes every step of the others longer. */
-constexpr double kInFlightMs = 4.0;
+constexpr double kInFlightMs = 10.0;
 /** Answers of a plain service take about this long. */
 constexpr double kPlainWorkMs = 20.0;
 /** Spread between copies that nothing else tells apart. */
@@ -35,9 +35,11 @@
 
 /** @return a number in [0, 1) that all entry hosts agree on. */
 double GetAffinity(const ChoiceRequest &request, const std::string &upstream) {
-  std::uint64_t seed = request.m_chain_keys.empty()
-                           ? request.m_draw
-                           : request.m_chain_keys.front();
+  // All parts but the last are shared with other requests.
+  const std::vector<std::uint64_t> &keys = request.m_chain_keys;
+  std::uint64_t seed = keys.empty()       ? request.m_draw
+                       : keys.size() == 1 ? keys.front()
+                                          : keys[keys.size() - 2];
   std::uint64_t hash =
       XXH3_64bits_withSeed(upstream.data(), upstream.size(), seed);
   return static_cast<double>(hash >> 11) * 0x1.0p-53;
