Know the demand at every control host, and don't press runners that refuse

Entry hosts now tell every control host of their requests; loads ahead wait until demand has been heard of for 6 s; a runner that refuses a model as not run gets none of its requests for 0.3 s.

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/** Time constants of the mean rates of requests. */
+/** Time constant of the mean rate of requests. */
 constexpr double kRateSeconds = 6.0;
-constexpr double kRecentSeconds = 6.0;
+constexpr std::size_t kMostBooks = 4'096;
 /** A report of waiting requests counts for this long. */
 constexpr base::milliseconds kWaitingLifetime{1'500};
 /** A runner's report may be older than its arrival by this much. */
@@ -30,9 +30,7 @@
 constexpr base::milliseconds kLateBy{1'000};
 constexpr base::milliseconds kUnknownBusy{1'500};
 
-double Decay(double seconds, double constant) {
-  return std::exp(-seconds / constant);
-}
+double Decay(double seconds) { return std::exp(-seconds / kRateSeconds); }
 
 double ToSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -41,13 +39,10 @@
 void AddArrivals(TargetDemand *demand, std::uint32_t arrivals,
                  base::TimePoint now) {
   if (demand->m_rate_at != base::TimePoint()) {
-    double seconds = ToSeconds(now - demand->m_rate_at);
-    demand->m_rate *= Decay(seconds, kRateSeconds);
-    demand->m_recent_rate *= Decay(seconds, kRecentSeconds);
+    demand->m_rate *= Decay(ToSeconds(now - demand->m_rate_at));
   }
   demand->m_rate_at = now;
   demand->m_rate += arrivals / kRateSeconds;
-  demand->m_recent_rate += arrivals / kRecentSeconds;
 }
 
 bool ReportsTarget(const gen::UpstreamReport &report,
@@ -102,6 +97,7 @@
 
 void RecordUse(ResidencyPlanner *planner, const gen::UseReport &report,
                base::TimePoint now) {
+  if (!planner->m_first_use_at) planner->m_first_use_at = now;
   for (const std::string &upstream : report.unreachable()) {
     planner->m_unreachable[upstream] = now;
   }
@@ -116,10 +112,10 @@
           WaitingReport{use.waiting(), use.rank(), now};
     }
     for (const std::string &upstream : use.upstreams()) {
-      auto book = planner->m_books.find(upstream);
-      if (book == planner->m_books.end()) continue;
-      book->second.m_used[MakeTarget(use.model(), use.adapter())] = now;
-      book->second.m_used[use.model()] = now;
+      if (planner->m_books.size() >= kMostBooks) continue;
+      RunnerBook &book = planner->m_books[upstream];
+      book.m_used[MakeTarget(use.model(), use.adapter())] = now;
+      book.m_used[use.model()] = now;
     }
   }
 }
@@ -128,10 +124,7 @@
                base::TimePoint now) {
   auto found = planner.m_demands.find(key);
   if (found == planner.m_demands.end()) return 0;
-  const TargetDemand &demand = found->second;
-  double seconds = ToSeconds(now - demand.m_rate_at);
-  return std::max(demand.m_rate * Decay(seconds, kRateSeconds),
-                  demand.m_recent_rate * Decay(seconds, kRecentSeconds));
+  return found->second.m_rate * Decay(ToSeconds(now - found->second.m_rate_at));
 }
 
 std::uint32_t CountWaiting(const TargetDemand &demand, base::TimePoint now) {
@@ -156,7 +149,12 @@
                  base::TimePoint now) {
   const gen::UpstreamReport &report = entry.m_report;
   if (book->m_born_ms != report.born_ms()) {
+    // Use may have been reported before the first plan.
+    bool is_first = book->m_born_ms == 0;
+    std::map<std::string, base::TimePoint> used;
+    if (is_first) used = std::move(book->m_used);
     *book = RunnerBook();
+    book->m_used = std::move(used);
     book->m_born_ms = report.born_ms();
   }
   FinishByReport(book, report, now);
@@ -304,7 +302,14 @@
   book.m_in_progress.reset();
 }
 
-void ResetBooks(ResidencyPlanner *planner) { planner->m_books.clear(); }
+void ResetBooks(ResidencyPlanner *planner) {
+  for (auto &[id, book] : planner->m_books) {
+    RunnerBook fresh;
+    fresh.m_born_ms = book.m_born_ms;
+    fresh.m_used = std::move(book.m_used);
+    book = std::move(fresh);
+  }
+}
 
 gen::Residency MakeResidency(const RunnerBook &book, const std::string &id) {
   gen::Residency residency;
--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -34,7 +34,9 @@
 constexpr base::milliseconds kUnreachableTime{1'500};
 /** A target used within this time may have runs, which an unload waits for. */
 constexpr base::milliseconds kInUse{1'300};
-constexpr double kInUseMs = 1'500.0;
+constexpr double kInUseMs = 4'000.0;
+/** A host that hears of requests for the first time learns for so long. */
+constexpr base::milliseconds kLearnDemand{6'000};
 /** Adapters of a model asked for by more than this rate keep a slot. */
 constexpr double kAdapterRate = 0.05;
 /** Models with less demand get no adapters ahead of requests. */
@@ -533,6 +535,9 @@
 
 /** Loads models ahead of requests where the gain outweighs the evictions. */
 void PlaceAhead(Pass *pass) {
+  const std::optional<base::TimePoint> &first =
+      pass->m_planner->m_first_use_at;
+  if (first && pass->m_now < *first + kLearnDemand) return;
   for (const Candidate &candidate : ListCandidates(*pass)) {
     double cost = 0;
     Runner *runner =
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -38,8 +38,7 @@
 
 struct TargetDemand {
   double m_rate = 0;          ///< requests a second, decaying mean
-  double m_recent_rate = 0;   ///< the same over a shorter time
-  base::TimePoint m_rate_at;  ///< time of both rates
+  base::TimePoint m_rate_at;  ///< time of m_rate
   std::map<std::string, WaitingReport> m_waiting;  ///< by entry host
 };
 
@@ -112,7 +111,9 @@
   /** When an entry host last couldn't reach an upstream. */
   std::map<std::string, base::TimePoint> m_unreachable;
   std::map<std::string, RunnerBook> m_books;  ///< by upstream
-  std::deque<base::TimePoint> m_store_loads;  ///< starts
+  std::deque<base::TimePoint> m_store_loads;        ///< starts
+  /** First report of use; loads ahead wait until demand is known. */
+  std::optional<base::TimePoint> m_first_use_at;
   std::uint64_t m_residency_number = 0;
 };
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -24,6 +24,9 @@
 constexpr base::milliseconds kLeastStall{1'200};
 constexpr double kFailureWeight = 1.0;
 constexpr double kRefusedWeight = 0.5;
+/** A runner that refused a model gets no more of its requests for so long. */
+constexpr base::milliseconds kRefusedPause{300};
+constexpr base::milliseconds kMisdirectedPause{1'000};
 
 void EndAttempt(RequestScope *scope, AttemptEnd end, const char *reason) {
   scope->m_end = end;
@@ -173,6 +176,11 @@
     RecordFailure(&stats, kRefusedWeight, base::Clock::now());
     if (facts.m_is_other_upstream) {
       RecordUnreachable(&stats, base::Clock::now());
+    } else if (!scope->m_facts.m_model.empty()) {
+      RecordModelRefused(
+          &stats, scope->m_facts.m_model,
+          facts.m_is_misdirected ? kMisdirectedPause : kRefusedPause,
+          base::Clock::now());
     }
     EndAttempt(scope, AttemptEnd::kNotRun,
                facts.m_is_other_upstream ? "address_reused"
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -128,6 +128,10 @@
     }
     Candidate candidate{&entry, FindStats(stats, report, now)};
     const UpstreamStats &known = *candidate.m_stats;
+    if (needs_model && IsModelRefused(known, facts.m_model, now)) {
+      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kNoModel);
+      continue;
+    }
     if (now < known.m_down_until) {
       choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kDown);
       continue;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -207,9 +207,8 @@
 }
 
 void Gateway::SendUse(base::TimePoint now) {
-  const std::string &leader = m_follower.m_view.m_leader_endpoint;
   bool is_due = m_must_send_use || now >= m_use_sent_at + kUsePeriod;
-  if (!is_due || leader.empty()) return;
+  if (!is_due) return;
   gen::FleetMessage message;
   gen::UseReport *report = message.mutable_use();
   AddUpstreams(report, now);
@@ -219,7 +218,10 @@
   TakeUseReport(&m_uses, report);
   report->set_entry(m_self.name());
   report->set_born_ms(m_self.born_ms());
-  m_sender(leader, message);
+  // Each control host may lead next and then needs to know the demand.
+  for (const std::string &host : fleet::ListPublishers(m_follower)) {
+    m_sender(host, message);
+  }
 }
 
 /** Names the upstreams that requests run at or can't reach. */
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -99,6 +99,19 @@
   stats->m_slowness += kSlownessWeight * (ratio - stats->m_slowness);
 }
 
+void RecordModelRefused(UpstreamStats *stats, const std::string &model,
+                        base::milliseconds pause, base::TimePoint now) {
+  absl::erase_if(stats->m_refused_models,
+                 [now](const auto &item) { return now >= item.second; });
+  stats->m_refused_models[model] = now + pause;
+}
+
+bool IsModelRefused(const UpstreamStats &stats, const std::string &model,
+                    base::TimePoint now) {
+  auto found = stats.m_refused_models.find(model);
+  return found != stats.m_refused_models.end() && now < found->second;
+}
+
 void RecordUnreachable(UpstreamStats *stats, base::TimePoint now) {
   RecordFailure(stats, kUnreachableWeight, now);
   stats->m_down_until = now + kDownTime;
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -37,6 +37,8 @@
   double m_slowness = 1;  ///< decaying ratio of actual to expected time
   base::TimePoint m_updated_at;
   base::TimePoint m_down_until;  ///< refused connections until then
+  /** Models whose requests it refused as not run, until these times. */
+  absl::flat_hash_map<std::string, base::TimePoint> m_refused_models;
   PrefixMemory m_prefixes;
 };
 
@@ -60,6 +62,14 @@
 void RecordSuccess(UpstreamStats *stats, base::Duration actual,
                    base::Duration expected, base::TimePoint now);
 
+/** Records that a runner refused a model's request as not run. */
+void RecordModelRefused(UpstreamStats *stats, const std::string &model,
+                        base::milliseconds pause, base::TimePoint now);
+
+/** @return whether requests of a model go elsewhere for now. */
+bool IsModelRefused(const UpstreamStats &stats, const std::string &model,
+                    base::TimePoint now);
+
 /** Records that the upstream took no connection. */
 void RecordUnreachable(UpstreamStats *stats, base::TimePoint now);
 
