--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -535,8 +535,7 @@
 
 /** Loads models ahead of requests where the gain outweighs the evictions. */
 void PlaceAhead(Pass *pass) {
-  const std::optional<base::TimePoint> &first =
-      pass->m_planner->m_first_use_at;
+  const std::optional<base::TimePoint> &first = pass->m_planner->m_first_use_at;
   if (first && pass->m_now < *first + kLearnDemand) return;
   for (const Candidate &candidate : ListCandidates(*pass)) {
     double cost = 0;
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -111,7 +111,7 @@
   /** When an entry host last couldn't reach an upstream. */
   std::map<std::string, base::TimePoint> m_unreachable;
   std::map<std::string, RunnerBook> m_books;  ///< by upstream
-  std::deque<base::TimePoint> m_store_loads;        ///< starts
+  std::deque<base::TimePoint> m_store_loads;  ///< starts
   /** First report of use; loads ahead wait until demand is known. */
   std::optional<base::TimePoint> m_first_use_at;
   std::uint64_t m_residency_number = 0;
