--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -65,6 +65,11 @@
   bool IsReady() const;
   std::size_t CountActive() const { return m_active.size(); }
 
+  /** @return the budget of repeats of a service. For tests. */
+  route::Budget *GetBudgetForTest(const std::string &service) {
+    return &GetBudget(service);
+  }
+
   /** @return limits for callers' connections, when a new table came. */
   std::function<void(const gen::CallerLimits &)> m_on_limits;
 
--- /dev/null
+++ b/tests/fleet.cmake
@@ -0,0 +1,4 @@
+ww_add_test(fleet_view_test ww_fleet_lib)
+ww_add_test(fleet_group_policy_test ww_fleet_lib)
+ww_add_test(fleet_residency_test ww_fleet_lib)
+ww_add_test(fleet_residency_explorer_test ww_fleet_lib)
--- /dev/null
+++ b/tests/fleet_residency_test.cpp
@@ -0,0 +1,130 @@
+/** @file fleet_residency_test.cpp Single decisions of the planner of loads. */
+
+#include <gtest/gtest.h>
+
+#include "fleet_residency_fixture.h"
+
+namespace wasabiwind::fleet {
+namespace {
+
+TEST(ResidencyTest, LoadsAModelThatRequestsWaitFor) {
+  PlannerFixture fleet(2);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  ResidencyActions first = fleet.Plan(At(20));
+  ASSERT_EQ(first.m_queries.size(), 1u);
+  fleet.Answer("i-1", 3, At(30));
+  ResidencyActions second = fleet.Plan(At(40));
+  ASSERT_EQ(second.m_orders.size(), 1u);
+  EXPECT_EQ(second.m_orders[0].m_model, "m1");
+  EXPECT_EQ(second.m_orders[0].m_expected, 3u);
+  EXPECT_TRUE(second.m_orders[0].m_is_from_store);
+}
+
+TEST(ResidencyTest, UnloadsBeforeItLoadsWhereThereIsNoRoom) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0", "m1"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m2", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.Answer("i-1", 0, At(30));
+  ResidencyActions actions = fleet.Plan(At(40));
+  ASSERT_EQ(actions.m_orders.size(), 1u);
+  EXPECT_FALSE(actions.m_orders[0].m_is_load);
+  // The model that goes is published as gone before its runner starts.
+  ASSERT_EQ(actions.m_changed.size(), 1u);
+  EXPECT_EQ(actions.m_changed[0].unloaded(0), actions.m_orders[0].m_model);
+}
+
+// After a change of leader the known report may be older than a load of the
+// leader before; the runner's status reserves the room. (LIMIT on
+// spillsack-core scale-1, seed 863628808495.)
+TEST(ResidencyTest, StatusReservesWhatTheReportDoesNotShowYet) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m2", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.Answer("i-1", 4, At(30), {"m0", "m1"});
+  ResidencyActions actions = fleet.Plan(At(40));
+  for (const PlannedOrder &order : actions.m_orders) {
+    EXPECT_FALSE(order.m_is_load) << order.m_model;
+  }
+}
+
+// An unload of an adapter with runs kept its runner busy for seconds and
+// stopped all loads there. (hutchworks-live trouble-1.)
+TEST(ResidencyTest, AdapterInUseIsNotUnloaded) {
+  PlannerFixture fleet(1);
+  gen::Fact runner = MakeRunner("i-1", 1, {"m0"});
+  runner.mutable_upstream()->mutable_models(0)->add_adapters("a1");
+  runner.mutable_upstream()->mutable_models(0)->add_adapters("a2");
+  fleet.Report(runner, At(0));
+  fleet.Plan(At(1));
+  gen::UseReport use = MakeUse("m0", "a3", 1);
+  for (const char *adapter : {"a1", "a2"}) {
+    gen::TargetUse *active = use.add_uses();
+    active->set_service("llm");
+    active->set_model("m0");
+    active->set_adapter(adapter);
+    active->add_upstreams("i-1");
+  }
+  RecordUse(&fleet.m_planner, use, At(10));
+  fleet.Plan(At(20));
+  fleet.Answer("i-1", 0, At(30));
+  EXPECT_TRUE(fleet.Plan(At(40)).m_orders.empty());
+  // Once a report shows no more use, the older one goes.
+  RecordUse(&fleet.m_planner, MakeUse("m0", "a3", 1), At(2'000));
+  ResidencyActions later = fleet.Plan(At(2'010));
+  ASSERT_EQ(later.m_orders.size(), 1u);
+  EXPECT_FALSE(later.m_orders[0].m_is_load);
+}
+
+// After the power came back, a leader without demand unloaded the busiest
+// model for one that nobody asked for. (spillsack-core trouble-1.)
+TEST(ResidencyTest, NoLoadsAheadBeforeDemandIsKnown) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0", "m1"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m0", "", 0), At(10));
+  EXPECT_TRUE(fleet.Plan(At(20)).m_queries.empty());
+}
+
+TEST(ResidencyTest, OrderWithoutAnswerIsRepeatedWithTheSameCount) {
+  PlannerFixture fleet(2);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.Answer("i-1", 3, At(30));
+  ResidencyActions first = fleet.Plan(At(40));
+  ASSERT_EQ(first.m_orders.size(), 1u);
+  RecordOrderOutcome(&fleet.m_planner, first.m_orders[0],
+                     OrderOutcome::kUnknown, At(840));
+  ResidencyActions second = fleet.Plan(At(1'100));
+  ASSERT_EQ(second.m_orders.size(), 1u);
+  EXPECT_EQ(second.m_orders[0].m_model, "m1");
+  EXPECT_EQ(second.m_orders[0].m_expected, 3u);
+}
+
+TEST(ResidencyTest, UnreachableRunnerGetsNoOrders) {
+  PlannerFixture fleet(2);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  gen::UseReport use = MakeUse("m1", "", 1);
+  use.add_unreachable("i-1");
+  RecordUse(&fleet.m_planner, use, At(10));
+  ResidencyActions actions = fleet.Plan(At(20));
+  EXPECT_TRUE(actions.m_queries.empty());
+  EXPECT_TRUE(actions.m_orders.empty());
+}
+
+TEST(ResidencyTest, LeavingRunnerDoesNotCountAsACopy) {
+  PlannerFixture fleet(2);
+  gen::Fact leaving = MakeRunner("i-1", 1, {"m1"});
+  leaving.mutable_upstream()->set_state(gen::UPSTREAM_LEAVING);
+  fleet.Report(leaving, At(0));
+  fleet.Report(MakeRunner("i-2", 1, {"m0"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  ResidencyActions actions = fleet.Plan(At(20));
+  ASSERT_EQ(actions.m_queries.size(), 1u);
+  EXPECT_EQ(actions.m_queries[0], "i-2");
+}
+
+}  // namespace
+}  // namespace wasabiwind::fleet
--- /dev/null
+++ b/tests/fleet_view_test.cpp
@@ -0,0 +1,168 @@
+/** @file fleet_view_test.cpp Facts, their order and what hosts believe. */
+
+#include <gtest/gtest.h>
+
+#include "fleet/fact_log_func.h"
+#include "fleet/follower_func.h"
+
+namespace wasabiwind::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *kA = "10.0.0.1:7000";
+constexpr const char *kB = "10.0.0.2:7000";
+
+base::TimePoint At(int ms) {
+  return base::TimePoint(std::chrono::seconds(100)) + milliseconds(ms);
+}
+
+gen::Fact MakeReport(const std::string &id, std::uint64_t born,
+                     std::uint64_t number, gen::UpstreamState state) {
+  gen::Fact fact;
+  gen::UpstreamReport *report = fact.mutable_upstream();
+  report->set_id(id);
+  report->set_born_ms(born);
+  report->set_report_number(number);
+  report->set_service("llm");
+  report->set_address("10.1.0.1:80");
+  report->set_state(state);
+  return fact;
+}
+
+const UpstreamEntry &Get(const FleetView &view, const std::string &id) {
+  return view.m_upstreams.at(id);
+}
+
+// A report that a partition held back must not undo a later one.
+TEST(FleetViewTest, LateReportChangesNothing) {
+  FleetView view;
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 9, gen::UPSTREAM_LEAVING), At(0));
+  ApplyFact(&view, kB, MakeReport("i-1", 5, 8, gen::UPSTREAM_READY), At(1));
+  EXPECT_EQ(Get(view, "i-1").m_report.state(), gen::UPSTREAM_LEAVING);
+}
+
+// An upstream that has left stays gone, whatever number a late report has.
+TEST(FleetViewTest, GoneStaysGoneForOneStart) {
+  FleetView view;
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 9, gen::UPSTREAM_READY), At(0));
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 0, gen::UPSTREAM_GONE), At(1));
+  ApplyFact(&view, kB, MakeReport("i-1", 5, 10, gen::UPSTREAM_READY), At(2));
+  EXPECT_FALSE(IsServing(view, Get(view, "i-1")));
+}
+
+TEST(FleetViewTest, LaterStartUnderTheSameIdServesAgain) {
+  FleetView view;
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 9, gen::UPSTREAM_GONE), At(0));
+  ApplyFact(&view, kA, MakeReport("i-1", 6, 1, gen::UPSTREAM_READY), At(1));
+  EXPECT_TRUE(IsServing(view, Get(view, "i-1")));
+}
+
+// A leave without a start ends the one that is known and keeps its address.
+TEST(FleetViewTest, LeaveWithoutStartEndsTheKnownOne) {
+  FleetView view;
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 9, gen::UPSTREAM_READY), At(0));
+  gen::Fact leave;
+  leave.mutable_upstream()->set_id("i-1");
+  leave.mutable_upstream()->set_state(gen::UPSTREAM_GONE);
+  ApplyFact(&view, kA, leave, At(1));
+  EXPECT_FALSE(IsServing(view, Get(view, "i-1")));
+  EXPECT_EQ(Get(view, "i-1").m_report.born_ms(), 5u);
+}
+
+// A ghost's report for a reused address must not take the address back.
+TEST(FleetViewTest, AddressBelongsToTheLatestStart) {
+  FleetView view;
+  ApplyFact(&view, kA, MakeReport("i-2", 8, 1, gen::UPSTREAM_READY), At(0));
+  ApplyFact(&view, kB, MakeReport("i-1", 5, 9, gen::UPSTREAM_READY), At(1));
+  EXPECT_TRUE(IsServing(view, Get(view, "i-2")));
+  EXPECT_FALSE(IsServing(view, Get(view, "i-1")));
+}
+
+TEST(FleetViewTest, SilentOnlyIfNoPublisherInTouchHearsIt) {
+  FleetView view;
+  view.m_publishers[kA].m_heard_at = At(0);
+  view.m_publishers[kB].m_heard_at = At(0);
+  gen::Fact silent = MakeReport("i-1", 5, 9, gen::UPSTREAM_READY);
+  silent.mutable_upstream()->set_is_silent(true);
+  ApplyFact(&view, kA, silent, At(0));
+  EXPECT_TRUE(IsSilent(view, Get(view, "i-1").m_silence, At(1)));
+  ApplyFact(&view, kB, MakeReport("i-1", 5, 10, gen::UPSTREAM_READY), At(1));
+  EXPECT_FALSE(IsSilent(view, Get(view, "i-1").m_silence, At(2)));
+  // The publisher that hears it is out of touch later.
+  EXPECT_TRUE(IsSilent(view, Get(view, "i-1").m_silence, At(3'100)));
+}
+
+TEST(FleetViewTest, ResidencyChangesWhatARunnerHolds) {
+  FleetView view;
+  gen::Fact fact = MakeReport("i-1", 5, 9, gen::UPSTREAM_READY);
+  fact.mutable_upstream()->add_models()->set_name("m1");
+  ApplyFact(&view, kA, fact, At(0));
+  gen::Fact change;
+  change.mutable_residency()->set_upstream("i-1");
+  change.mutable_residency()->set_born_ms(5);
+  change.mutable_residency()->set_term(3);
+  change.mutable_residency()->set_number(1);
+  change.mutable_residency()->add_unloaded("m1");
+  change.mutable_residency()->add_loaded("m2/a1");
+  ApplyFact(&view, kA, change, At(1));
+  EXPECT_FALSE(HasTarget(Get(view, "i-1"), "m1", "", At(2)));
+  EXPECT_TRUE(HasTarget(Get(view, "i-1"), "m2", "a1", At(2)));
+  // What a leader that is gone said doesn't hold for ever.
+  EXPECT_TRUE(HasTarget(Get(view, "i-1"), "m1", "", At(5'000)));
+}
+
+TEST(FactLogTest, SameReportUnderAnotherNumberIsNoChange) {
+  FactLog log;
+  log.m_epoch = 1;
+  EXPECT_TRUE(PutFact(&log, MakeReport("i-1", 5, 1, gen::UPSTREAM_READY)));
+  EXPECT_FALSE(PutFact(&log, MakeReport("i-1", 5, 2, gen::UPSTREAM_READY)));
+  EXPECT_TRUE(PutFact(&log, MakeReport("i-1", 5, 3, gen::UPSTREAM_LEAVING)));
+}
+
+// Lost news must be sent again, and a restarted publisher starts anew.
+TEST(FactLogTest, FollowerGetsWhatItHasNotAcknowledged) {
+  FactLog log;
+  log.m_epoch = 7;
+  PutFact(&log, MakeReport("i-1", 5, 1, gen::UPSTREAM_READY));
+  PutFact(&log, MakeReport("i-2", 5, 1, gen::UPSTREAM_READY));
+  gen::News news;
+  FillNews(log, 7, 1, FollowerKind::kEntry, &news);
+  ASSERT_EQ(news.facts_size(), 1);
+  EXPECT_EQ(news.facts(0).upstream().id(), "i-2");
+  gen::News all;
+  FillNews(log, 6, 2, FollowerKind::kEntry, &all);
+  EXPECT_EQ(all.facts_size(), 2);
+}
+
+TEST(FollowerTest, AsksForANewerTableOnceAndTakesItOver) {
+  Follower follower;
+  follower.m_seeds = {kA};
+  gen::News news;
+  news.set_publisher_epoch(4);
+  news.set_routes_version(3);
+  NewsResult first = HandleNews(&follower, kA, news, At(1'000));
+  ASSERT_EQ(first.m_messages.size(), 1u);
+  EXPECT_TRUE(first.m_messages[0].m_message.follow().wants_routes());
+  NewsResult second = HandleNews(&follower, kA, news, At(1'010));
+  EXPECT_TRUE(second.m_messages.empty());
+  news.mutable_routes()->set_version(3);
+  NewsResult third = HandleNews(&follower, kA, news, At(1'020));
+  ASSERT_TRUE(third.m_routes.has_value());
+  // An older table never replaces a newer one.
+  news.mutable_routes()->set_version(2);
+  EXPECT_FALSE(HandleNews(&follower, kB, news, At(1'030)).m_routes);
+  EXPECT_EQ(follower.m_routes_version, 3u);
+}
+
+TEST(FollowerTest, FollowsSeedsAndKnownHostsOncePerPeriod) {
+  Follower follower;
+  follower.m_own_endpoint = kB;
+  follower.m_seeds = {kA, kB};
+  EXPECT_EQ(TickFollower(&follower, At(0)).size(), 1u);
+  EXPECT_TRUE(TickFollower(&follower, At(100)).empty());
+  EXPECT_EQ(TickFollower(&follower, At(600)).size(), 1u);
+}
+
+}  // namespace
+}  // namespace wasabiwind::fleet
--- /dev/null
+++ b/tests/gateway_choose_test.cpp
@@ -0,0 +1,191 @@
+/** @file gateway_choose_test.cpp Choice of upstreams and of addresses. */
+
+#include <gtest/gtest.h>
+
+#include "gateway/choose_func.h"
+#include "gateway/directory_func.h"
+
+namespace wasabiwind::gateway {
+namespace {
+
+constexpr const char *kPublisher = "10.0.0.1:7000";
+
+base::TimePoint At(int ms) {
+  return base::TimePoint(std::chrono::seconds(100)) +
+         std::chrono::milliseconds(ms);
+}
+
+/** Runners i-1 (domain near) and i-2 (domain far), both with model m. */
+class ChooseTest : public testing::Test {
+ protected:
+  ChooseTest() {
+    m_service.set_name("llm");
+    m_service.mutable_engine()->set_kv_tokens(10'000);
+    m_location.m_domain = "near";
+    m_location.m_region = "r1";
+    m_location.m_region_by_domain = {{"near", "r1"}, {"far", "r2"}};
+    m_view.m_publishers[kPublisher].m_heard_at = At(0);
+    Add("i-1", "10.1.0.1:80", "near", gen::UPSTREAM_READY);
+    Add("i-2", "10.2.0.1:80", "far", gen::UPSTREAM_READY);
+    m_facts.m_id = "r";
+    m_facts.m_model = "m";
+    m_facts.m_prompt_tokens = 1'000;
+    m_facts.m_parts = {{"p1", 600}, {"p2", 300}, {"own", 100}};
+  }
+
+  void Add(const std::string &id, const std::string &address,
+           const std::string &domain, gen::UpstreamState state) {
+    gen::Fact fact;
+    gen::UpstreamReport *report = fact.mutable_upstream();
+    report->set_id(id);
+    report->set_born_ms(5);
+    report->set_report_number(++m_number);
+    report->set_service("llm");
+    report->set_address(address);
+    report->set_domain(domain);
+    report->set_state(state);
+    report->add_models()->set_name("m");
+    fleet::ApplyFact(&m_view, kPublisher, fact, At(0));
+  }
+
+  Choice Choose() {
+    ChoiceRequest request;
+    request.m_facts = &m_facts;
+    request.m_service = &m_service;
+    request.m_chain_keys = MakeChainKeys(m_facts);
+    request.m_excluded = m_excluded;
+    return ChooseUpstream(m_view, &m_stats, m_location, request, At(10));
+  }
+
+  std::uint64_t m_number = 0;
+  gen::RoutedService m_service;
+  Location m_location;
+  fleet::FleetView m_view;
+  StatsById m_stats;
+  RequestFacts m_facts;
+  std::set<std::string> m_excluded;
+};
+
+TEST_F(ChooseTest, PrefersTheRunnerOfItsOwnDomain) {
+  m_facts.m_parts.clear();
+  EXPECT_EQ(Choose().m_upstream, "i-1");
+}
+
+TEST_F(ChooseTest, PrefersTheRunnerThatKeepsThePrompt) {
+  m_facts.m_prompt_tokens = 9'000;
+  m_facts.m_parts = {{"p1", 8'900}, {"own", 100}};
+  Choose();
+  RememberPrompt(&m_stats["i-2"].m_prefixes, m_facts, MakeChainKeys(m_facts),
+                 10'000);
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+}
+
+// A leaving upstream must get no new request.
+TEST_F(ChooseTest, LeavingRunnerIsNotChosen) {
+  Add("i-1", "10.1.0.1:80", "near", gen::UPSTREAM_LEAVING);
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+}
+
+TEST_F(ChooseTest, SaysThatNoRunnerHoldsTheModel) {
+  m_facts.m_model = "other";
+  EXPECT_EQ(Choose().m_problem, ChoiceProblem::kNoModel);
+  m_facts.m_model = "m";
+  m_facts.m_adapter = "a1";
+  EXPECT_EQ(Choose().m_problem, ChoiceProblem::kNoAdapter);
+}
+
+// A sole copy that refuses connections made requests fail one after the other
+// instead of asking for another copy. (hutchworks-live trouble-1.)
+TEST_F(ChooseTest, RunnerThatTakesNoConnectionDoesNotCountAsACopy) {
+  Choose();
+  RecordUnreachable(&m_stats["i-1"], At(9));
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+  RecordUnreachable(&m_stats["i-2"], At(9));
+  EXPECT_EQ(Choose().m_problem, ChoiceProblem::kNoModel);
+}
+
+// Requests pressed a runner that was unloading their model and used up the
+// budget of repeats. (spillsack-core trouble-1.)
+TEST_F(ChooseTest, RunnerThatRefusedAModelGetsNoneOfItsRequestsForAMoment) {
+  Choose();
+  RecordModelRefused(&m_stats["i-1"], "m", std::chrono::milliseconds(300),
+                     At(9));
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+}
+
+TEST_F(ChooseTest, ExcludedRunnersAreNamedAsTheReason) {
+  m_excluded = {"i-1", "i-2"};
+  EXPECT_EQ(Choose().m_problem, ChoiceProblem::kAllExcluded);
+}
+
+TEST_F(ChooseTest, LaterStartForgetsWhatWasLearned) {
+  Choose();
+  RecordUnreachable(&m_stats["i-1"], At(9));
+  gen::Fact fact;
+  *fact.mutable_upstream() = m_view.m_upstreams["i-1"].m_report;
+  fact.mutable_upstream()->set_born_ms(6);
+  fleet::ApplyFact(&m_view, kPublisher, fact, At(9));
+  m_facts.m_parts.clear();
+  EXPECT_EQ(Choose().m_upstream, "i-1");
+}
+
+TEST(PrefixMemoryTest, ForgetsTheLeastRecentlyUsedAtItsCapacity) {
+  PrefixMemory memory;
+  RequestFacts first;
+  first.m_parts = {{"a", 60}, {"b", 30}};
+  RequestFacts second;
+  second.m_parts = {{"c", 60}};
+  RememberPrompt(&memory, first, MakeChainKeys(first), 100);
+  EXPECT_EQ(CountKeptTokens(memory, first, MakeChainKeys(first)), 90u);
+  RememberPrompt(&memory, second, MakeChainKeys(second), 100);
+  EXPECT_EQ(CountKeptTokens(memory, second, MakeChainKeys(second)), 60u);
+  EXPECT_LE(memory.m_tokens, 100u);
+}
+
+gen::EntryHost MakeEntry(const std::string &name, const std::string &domain,
+                         const std::string &region, gen::EntryState state) {
+  gen::EntryHost host;
+  host.set_name(name);
+  host.set_born_ms(1);
+  host.set_report_number(1);
+  host.set_caller_address(name + ":80");
+  host.set_domain(domain);
+  host.set_region(region);
+  host.set_state(state);
+  return host;
+}
+
+TEST(DirectoryTest, NamesHostsOfTheDomainAndLeavesOutThoseThatStop) {
+  fleet::FleetView view;
+  view.m_publishers[kPublisher].m_heard_at = At(0);
+  for (const gen::EntryHost &host :
+       {MakeEntry("b", "near", "r1", gen::ENTRY_SERVING),
+        MakeEntry("c", "near", "r1", gen::ENTRY_LEAVING),
+        MakeEntry("d", "far", "r2", gen::ENTRY_SERVING)}) {
+    gen::Fact fact;
+    *fact.mutable_entry() = host;
+    fleet::ApplyFact(&view, kPublisher, fact, At(0));
+  }
+  gen::EntryHost own = MakeEntry("a", "near", "r1", gen::ENTRY_SERVING);
+  std::vector<std::string> addresses =
+      ListAddresses(view, {}, own, {"r1", "near"}, At(10));
+  EXPECT_EQ(addresses, (std::vector<std::string>{"a:80", "b:80"}));
+  own.set_state(gen::ENTRY_LEAVING);
+  addresses = ListAddresses(view, {}, own, {"r1", "near"}, At(10));
+  EXPECT_EQ(addresses, (std::vector<std::string>{"b:80", "d:80"}));
+}
+
+// Without control in touch nobody is known to be silent.
+TEST(DirectoryTest, KeepsTheLastKnownHostsWhenControlIsGone) {
+  fleet::FleetView view;
+  view.m_publishers[kPublisher].m_heard_at = At(0);
+  gen::Fact fact;
+  *fact.mutable_entry() = MakeEntry("b", "near", "r1", gen::ENTRY_SERVING);
+  fleet::ApplyFact(&view, kPublisher, fact, At(0));
+  gen::EntryHost own = MakeEntry("a", "near", "r1", gen::ENTRY_LEAVING);
+  EXPECT_EQ(ListAddresses(view, {}, own, {"r1", "near"}, At(60'000)).size(),
+            1u);
+}
+
+}  // namespace
+}  // namespace wasabiwind::gateway
--- /dev/null
+++ b/tests/platform.cmake
@@ -0,0 +1,1 @@
+ww_add_test(platform_codec_test ww_platform_lib)
--- /dev/null
+++ b/tests/platform_codec_test.cpp
@@ -0,0 +1,226 @@
+/** @file platform_codec_test.cpp Translations of the platform's messages. */
+
+#include <gtest/gtest.h>
+
+#include "platform/control_protocol_func.h"
+#include "platform/gateway_protocol_func.h"
+#include "platform/table_codec_func.h"
+#include "routes/table_func.h"
+
+namespace wasabiwind::platform {
+namespace {
+
+using fleet_control::ReportCall;
+
+constexpr const char *kDocument = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/p/","kind":"stream",
+   "timeoutMs":13000,"sloMs":2000,"priority":1,"service":"s1",
+   "maxAttempts":2,"sticky":true,"resumable":true,"gapSloMs":400},
+  {"name":"r2","host":"a.example","pathPrefix":"/q/","kind":"unsafe",
+   "timeoutMs":800,"sloMs":150,"priority":2,
+   "split":[{"service":"s1","weight":90},{"service":"s2","weight":10}]}],
+ "services":[{"name":"s1","healthPath":"/h","maxConns":360,"engine":
+   {"slots":64,"kvTokens":232000,"weightsMb":200000.0,"adapterSlots":8,
+    "loadsPerS":3.1,"models":[{"name":"m","weightsMb":65099.99,"loadS":6.0,
+    "adapters":46,"adapterMb":40.0,"warmS":0.38,"diskS":0.76}]}},
+  {"name":"s2","healthPath":"/h","maxConns":96}],
+ "limits":{"headerBytes":16384,"bodyBytes":4194304,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000}})";
+
+std::string Without(const std::string &text, const std::string &part) {
+  std::string result = text;
+  result.erase(result.find(part), part.size());
+  return result;
+}
+
+TEST(TableCodecTest, DecodesADocument) {
+  base::Result<gen::RouteTable> table = DecodeTable(kDocument);
+  ASSERT_TRUE(table) << table.error().ToString();
+  EXPECT_TRUE(routes::CheckRouteTable(*table));
+  EXPECT_EQ(table->version(), 7u);
+  EXPECT_EQ(table->routes(0).kind(), gen::ROUTE_STREAM);
+  EXPECT_TRUE(table->routes(0).is_resumable());
+  EXPECT_EQ(table->routes(1).kind(), gen::ROUTE_NON_IDEMPOTENT);
+  EXPECT_EQ(table->routes(1).targets(1).weight(), 10u);
+  const gen::HostedModel &model = table->services(0).engine().models(0);
+  EXPECT_EQ(model.store_load_ms(), 6'000u);
+  EXPECT_EQ(model.disk_load_ms(), 760u);
+  EXPECT_FALSE(table->services(1).has_engine());
+  EXPECT_EQ(table->limits().idle_timeout_ms(), 15'000u);
+}
+
+// A document that was cut short must not be acknowledged, wherever it ends.
+TEST(TableCodecTest, RefusesEveryDocumentThatWasCutShort) {
+  std::string document = kDocument;
+  for (std::size_t size = 0; size < document.size(); ++size) {
+    EXPECT_FALSE(DecodeTable(document.substr(0, size))) << size;
+  }
+}
+
+TEST(TableCodecTest, RefusesADocumentWithoutVersionOrLists) {
+  EXPECT_FALSE(DecodeTable(Without(kDocument, R"("version":7,)")));
+  EXPECT_FALSE(DecodeTable(R"({"version":7,"routes":[]})"));
+  EXPECT_FALSE(DecodeTable(R"({"version":"7","routes":[],"services":[]})"));
+}
+
+TEST(TableCodecTest, AMissingTimeoutIsRefusedByTheCheck) {
+  auto table = DecodeTable(Without(kDocument, R"("timeoutMs":800,)"));
+  ASSERT_TRUE(table);
+  EXPECT_FALSE(routes::CheckRouteTable(*table));
+}
+
+net::HttpRequest MakePost(const std::string &target, const std::string &body) {
+  net::HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = target;
+  request.m_body = body;
+  return request;
+}
+
+base::Result<gen::UpstreamReport> Decode(const std::string &target,
+                                         const std::string &body) {
+  auto call = MakeControlProtocol().m_decode_call(MakePost(target, body));
+  if (!call) return tl::unexpected(call.error());
+  return std::get<ReportCall>(*call).m_report;
+}
+
+constexpr const char *kReport =
+    R"({"service":"s1","addr":"10.0.0.9:80","zone":"z","version":"v1",)"
+    R"("slots":64,"state":"ready","coldLeftMs":0,"born":1700000000123,)"
+    R"("models":[{"name":"m","version":2,"adapters":["a1"]}],)"
+    R"("available":{"inMemory":["m"],"onDisk":["m","n"]},"seq":4})";
+
+TEST(ControlCodecTest, DecodesAReport) {
+  auto report = Decode("/wasabiwind/Instances.Beat/i-1", kReport);
+  ASSERT_TRUE(report) << report.error().ToString();
+  EXPECT_EQ(report->id(), "i-1");
+  EXPECT_EQ(report->born_ms(), 1'700'000'000'123u);
+  EXPECT_EQ(report->report_number(), 4u);
+  EXPECT_EQ(report->models(0).adapters(0), "a1");
+  EXPECT_EQ(report->on_disk_size(), 2);
+  EXPECT_FALSE(report->has_end());
+}
+
+// Reports of other writers name no upstream to use.
+TEST(ControlCodecTest, RefusesReportsThatCannotBeRead) {
+  const std::string target = "/wasabiwind/Instances.Beat/i-1";
+  EXPECT_FALSE(Decode(target, "\x01\x02"));
+  EXPECT_FALSE(Decode(target, Without(kReport, R"("service":"s1",)")));
+  EXPECT_FALSE(Decode(target, Without(kReport, R"("state":"ready",)")));
+  std::string unknown_state = kReport;
+  unknown_state.replace(unknown_state.find("ready"), 5, "happy");
+  EXPECT_FALSE(Decode(target, unknown_state));
+  std::string text_number = kReport;
+  text_number.replace(text_number.find(R"("seq":4)"), 7, R"("seq":"4")");
+  EXPECT_FALSE(Decode(target, text_number));
+}
+
+TEST(ControlCodecTest, LeaveNeedsNoBody) {
+  auto report = Decode("/wasabiwind/Instances.Leave/i-1", "");
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->state(), gen::UPSTREAM_GONE);
+  EXPECT_EQ(report->born_ms(), 0u);
+}
+
+TEST(ControlCodecTest, OrderNamesItsRunnerAndTheExpectedCount) {
+  fleet_control::RunnerOrder order;
+  order.m_upstream = "i-1";
+  order.m_model = "m";
+  order.m_adapter = "a3";
+  order.m_expected = 2;
+  order.m_holder = "core-1";
+  order.m_fence = 41;
+  net::HttpRequest request = MakeControlProtocol().m_encode_order(order);
+  EXPECT_EQ(request.m_headers.Get("X-Wasabiwind-Expect-Instance"), "i-1");
+  EXPECT_EQ(request.m_body,
+            R"({"op":"load","model":"m","adapter":"a3","expect":2,)"
+            R"("holder":"core-1","fence":41})");
+}
+
+net::HttpRequest MakeCallerRequest() {
+  net::HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/p/1";
+  request.m_headers.Add("Host", "a.example");
+  request.m_headers.Add("X-Wasabiwind-Request-Id", "r1");
+  request.m_headers.Add("X-Wasabiwind-Model", "m/a3");
+  request.m_headers.Add("X-Wasabiwind-Token-Count", "1460,80");
+  request.m_headers.Add("X-Wasabiwind-Prefix-Hash", "5c:800,91:410,e4:250");
+  request.m_headers.Add("X-Wasabiwind-Deadline-Ms", "6000");
+  request.m_headers.Add("X-Wasabiwind-Hold", "stolen");
+  request.m_headers.Add("X-Wasabiwind-Pin-Ms", "1");
+  request.m_headers.Add("X-Custom", "kept");
+  request.m_headers.Add("Connection", "keep-alive, X-Hop");
+  request.m_headers.Add("X-Hop", "dropped");
+  return request;
+}
+
+TEST(GatewayCodecTest, DecodesARequest) {
+  gateway::RequestFacts facts =
+      MakeGatewayProtocol().m_decode_request(MakeCallerRequest());
+  EXPECT_EQ(facts.m_model, "m");
+  EXPECT_EQ(facts.m_adapter, "a3");
+  EXPECT_EQ(facts.m_prompt_tokens, 1'460u);
+  ASSERT_EQ(facts.m_parts.size(), 3u);
+  EXPECT_EQ(facts.m_parts[1].m_tokens, 410u);
+  EXPECT_EQ(facts.m_patience, std::chrono::milliseconds(6'000));
+}
+
+// What only the system may set must not reach a runner as a caller sent it.
+TEST(GatewayCodecTest, ForwardsHeadersWithoutThoseOfConnectionAndSystem) {
+  gateway::ForwardFacts facts;
+  facts.m_remaining = std::chrono::milliseconds(1'500);
+  facts.m_upstream = "i-1";
+  facts.m_rank = 2;
+  net::HttpHeaders headers =
+      MakeGatewayProtocol().m_make_headers(MakeCallerRequest(), facts);
+  EXPECT_EQ(headers.Find("X-Wasabiwind-Hold"), nullptr);
+  EXPECT_EQ(headers.Find("X-Wasabiwind-Pin-Ms"), nullptr);
+  EXPECT_EQ(headers.Find("X-Hop"), nullptr);
+  EXPECT_EQ(headers.Get("X-Custom"), "kept");
+  EXPECT_EQ(headers.Get("Host"), "a.example");
+  EXPECT_EQ(headers.Get("X-Wasabiwind-Deadline-Ms"), "1500");
+  EXPECT_EQ(headers.Get("X-Wasabiwind-Expect-Instance"), "i-1");
+  EXPECT_EQ(headers.Get("X-Wasabiwind-Request-Urgency"), "2");
+}
+
+gateway::AnswerFacts DecodeHead(int status, const net::HttpHeaders &headers) {
+  net::HttpResponse head;
+  head.m_status = status;
+  head.m_headers = headers;
+  gateway::RequestFacts request;
+  request.m_id = "r1";
+  return MakeGatewayProtocol().m_decode_answer(head, request, "i-1");
+}
+
+TEST(GatewayCodecTest, OnlyStatedRefusalsCountAsNotRun) {
+  net::HttpHeaders headers;
+  EXPECT_FALSE(DecodeHead(503, headers).m_is_not_run);
+  EXPECT_TRUE(DecodeHead(421, headers).m_is_not_run);
+  headers.Add("X-Wasabiwind-Not-Run", "1");
+  EXPECT_TRUE(DecodeHead(503, headers).m_is_not_run);
+}
+
+TEST(GatewayCodecTest, AnswerOfAnotherRequestIsForeign) {
+  net::HttpHeaders headers;
+  headers.Add("X-Wasabiwind-Request-Id", "r0");
+  EXPECT_FALSE(DecodeHead(200, headers).m_is_own);
+  EXPECT_FALSE(DecodeHead(200, {}).m_is_own);
+}
+
+TEST(GatewayCodecTest, AddressAnswerHasTheFieldsCallersRead) {
+  gateway::AddressAnswer answer;
+  answer.m_addresses = {"10.0.0.1:80"};
+  answer.m_ttl = std::chrono::milliseconds(1'000);
+  EXPECT_EQ(MakeGatewayProtocol().m_encode_address_answer(answer).m_body,
+            R"({"addrs":["10.0.0.1:80"],"ttlS":1})");
+  net::HttpRequest request;
+  request.m_method = "GET";
+  request.m_target = "/wasabiwind/resolve?name=a%2Eb&region=r1&zone=z1";
+  auto query = MakeGatewayProtocol().m_decode_address_query(request);
+  ASSERT_TRUE(query);
+  EXPECT_EQ(query->m_domain, "z1");
+}
+
+}  // namespace
+}  // namespace wasabiwind::platform
--- /dev/null
+++ b/tests/routes.cmake
@@ -0,0 +1,1 @@
+ww_add_test(routes_table_test ww_routes_lib)
--- /dev/null
+++ b/tests/routes_table_test.cpp
@@ -0,0 +1,95 @@
+/** @file routes_table_test.cpp Checks and lookups of route tables. */
+
+#include <gtest/gtest.h>
+
+#include "routes/table_func.h"
+
+namespace wasabiwind::routes {
+namespace {
+
+gen::Route MakeRoute(const std::string &name, const std::string &prefix,
+                     const std::string &service) {
+  gen::Route route;
+  route.set_name(name);
+  route.set_host("a.example");
+  route.set_path_prefix(prefix);
+  route.set_kind(gen::ROUTE_IDEMPOTENT);
+  route.set_timeout_ms(1'000);
+  gen::RouteTarget *target = route.add_targets();
+  target->set_service(service);
+  target->set_weight(1);
+  return route;
+}
+
+gen::RouteTable MakeTable() {
+  gen::RouteTable table;
+  table.set_version(1);
+  table.add_services()->set_name("desk");
+  *table.add_routes() = MakeRoute("short", "/a/", "desk");
+  *table.add_routes() = MakeRoute("long", "/a/b/", "desk");
+  return table;
+}
+
+TEST(RouteTableTest, AcceptsAProperTable) {
+  EXPECT_TRUE(CheckRouteTable(MakeTable()));
+}
+
+// An invalid table must not be acknowledged: each kind has its own reason.
+TEST(RouteTableTest, RefusesAnUnknownService) {
+  gen::RouteTable table = MakeTable();
+  table.mutable_routes(0)->mutable_targets(0)->set_service("nobody");
+  EXPECT_FALSE(CheckRouteTable(table));
+}
+
+TEST(RouteTableTest, RefusesTwoRoutesAtOnePlace) {
+  gen::RouteTable table = MakeTable();
+  *table.add_routes() = MakeRoute("twin", "/a/", "desk");
+  table.mutable_routes(2)->set_host("A.EXAMPLE");
+  EXPECT_FALSE(CheckRouteTable(table));
+}
+
+TEST(RouteTableTest, RefusesWeightsThatAddUpToZero) {
+  gen::RouteTable table = MakeTable();
+  table.mutable_routes(0)->mutable_targets(0)->set_weight(0);
+  EXPECT_FALSE(CheckRouteTable(table));
+}
+
+TEST(RouteTableTest, RefusesAZeroTimeout) {
+  gen::RouteTable table = MakeTable();
+  table.mutable_routes(1)->set_timeout_ms(0);
+  EXPECT_FALSE(CheckRouteTable(table));
+}
+
+TEST(RouteTableTest, FindsTheLongestPrefixOfAHost) {
+  RouteIndexPtr index = MakeRouteIndex(MakeTable());
+  EXPECT_EQ(FindRoute(*index, "a.example:80", "/a/b/c")->name(), "long");
+  EXPECT_EQ(FindRoute(*index, "A.example", "/a/c")->name(), "short");
+  EXPECT_EQ(FindRoute(*index, "a.example", "/b/"), nullptr);
+  EXPECT_EQ(FindRoute(*index, "b.example", "/a/"), nullptr);
+}
+
+TEST(RouteTableTest, ChoosesServicesByWeight) {
+  gen::Route route = MakeRoute("split", "/", "desk");
+  route.mutable_targets(0)->set_weight(3);
+  gen::RouteTarget *other = route.add_targets();
+  other->set_service("other");
+  other->set_weight(1);
+  int desk = 0;
+  for (std::uint64_t draw = 0; draw < 400; ++draw) {
+    desk += ChooseService(route, draw) == "desk" ? 1 : 0;
+  }
+  EXPECT_EQ(desk, 300);
+}
+
+TEST(RouteTableTest, OnlyResumableStreamsMayBeRepeated) {
+  gen::Route route = MakeRoute("stream", "/", "desk");
+  route.set_kind(gen::ROUTE_STREAM);
+  EXPECT_FALSE(IsRepeatable(route));
+  route.set_is_resumable(true);
+  EXPECT_TRUE(IsRepeatable(route));
+  route.set_kind(gen::ROUTE_NON_IDEMPOTENT);
+  EXPECT_FALSE(IsRepeatable(route));
+}
+
+}  // namespace
+}  // namespace wasabiwind::routes
