Keep copies of busy models until demand is known

Until requests were reported for 6 s, the copies that are there stand for the demand; models that some disk has come only into free room; models that no disk has come first, four at once before traffic.

A process test of the control group is added.

--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /** Requests a second assumed for a model that nobody asked for yet. */
-constexpr double kUnknownRate = 0.02;
+constexpr double kUnknownRate = 0.05;
 /** Time over which the cost of an eviction is weighed. */
 constexpr double kHorizonSeconds = 10.0;
 /** Milliseconds that a request loses when its model must return from disk. */
@@ -221,8 +221,25 @@
   return declared->store_load_ms() * std::max(1.0, crowd);
 }
 
+/** @return whether requests were reported long enough to know the demand. */
+bool IsDemandKnown(const Pass &pass) {
+  const std::optional<base::TimePoint> &first = pass.m_planner->m_first_use_at;
+  return first && pass.m_now >= *first + kLearnDemand;
+}
+
+int GetCopies(const Pass &pass, const TargetKey &key) {
+  auto found = pass.m_copies.find(key);
+  return found == pass.m_copies.end() ? 0 : found->second;
+}
+
 double GetModelRate(const Pass &pass, const TargetKey &key) {
-  return std::max(kUnknownRate, GetRate(*pass.m_planner, key, pass.m_now));
+  double rate =
+      std::max(kUnknownRate, GetRate(*pass.m_planner, key, pass.m_now));
+  int copies = GetCopies(pass, key);
+  if (IsDemandKnown(pass) || copies < 2) return rate;
+  // Until then, the copies that are there tell how busy a model is.
+  return std::max(rate,
+                  copies * pass.m_planner->m_settings.m_requests_per_copy);
 }
 
 /** @return adapters of a model that are asked for again and again. */
@@ -271,8 +288,7 @@
 double GetEvictionCost(const Pass &pass, const Runner &runner,
                        const std::string &model) {
   TargetKey key{runner.m_service->name(), model, ""};
-  auto copies = pass.m_copies.find(key);
-  int others = copies == pass.m_copies.end() ? 0 : copies->second - 1;
+  int others = GetCopies(pass, key) - 1;
   double rate = GetModelRate(pass, key);
   double cost = 0;
   if (others <= 0) {
@@ -481,11 +497,6 @@
   return demands;
 }
 
-int GetCopies(const Pass &pass, const TargetKey &key) {
-  auto found = pass.m_copies.find(key);
-  return found == pass.m_copies.end() ? 0 : found->second;
-}
-
 /** Loads models that requests wait for and no runner holds. */
 void PlaceWaiting(Pass *pass) {
   for (const RankedDemand &demand : ListWaiting(*pass, false)) {
@@ -504,6 +515,7 @@
   TargetKey m_key;
   double m_benefit = 0;  ///< milliseconds of waiting avoided
   const char *m_reason = "";
+  bool m_needs_free_room = false;  ///< not worth an eviction
 };
 
 std::vector<Candidate> ListCandidates(const Pass &pass) {
@@ -519,10 +531,11 @@
         double delay = is_near ? kReturnDelayMs + model.disk_load_ms()
                                : model.store_load_ms();
         candidates.push_back({key, rate * kHorizonSeconds * delay,
-                              is_near ? "no_copy" : "no_copy_on_disk"});
+                              is_near ? "no_copy" : "no_copy_on_disk",
+                              is_near});
       } else if (copies < GetNeededCopies(pass, key)) {
         candidates.push_back(
-            {key, rate * kHorizonSeconds * kNeededCopyMs, "busy"});
+            {key, rate * kHorizonSeconds * kNeededCopyMs, "busy", false});
       }
     }
   }
@@ -535,16 +548,20 @@
 
 /** Loads models ahead of requests where the gain outweighs the evictions. */
 void PlaceAhead(Pass *pass) {
-  const std::optional<base::TimePoint> &first = pass->m_planner->m_first_use_at;
-  if (first && pass->m_now < *first + kLearnDemand) return;
+  bool has_demand = pass->m_planner->m_first_use_at.has_value();
+  if (has_demand && !IsDemandKnown(*pass)) return;
   for (const Candidate &candidate : ListCandidates(*pass)) {
     double cost = 0;
-    Runner *runner =
-        ChooseRunner(pass, candidate.m_key,
-                     pass->m_planner->m_settings.m_background_loads, &cost);
+    // Before traffic, no waiting request needs the store's speed.
+    const ResidencySettings &settings = pass->m_planner->m_settings;
+    std::size_t limit =
+        has_demand ? settings.m_background_loads : settings.m_store_loads;
+    Runner *runner = ChooseRunner(pass, candidate.m_key, limit, &cost);
     if (runner == nullptr) continue;
     double room = GetRoomCost(*pass, *runner, candidate.m_key.m_model);
-    if (room >= candidate.m_benefit) continue;
+    bool is_worth_it =
+        candidate.m_needs_free_room ? room == 0 : room < candidate.m_benefit;
+    if (!is_worth_it) continue;
     SetIntention(pass, runner, candidate.m_key, candidate.m_reason);
     return;
   }
--- /dev/null
+++ b/tests/fleet_control_process_test.cpp
@@ -0,0 +1,224 @@
+/** @file fleet_control_process_test.cpp Control hosts as real processes.
+ *
+ * The hosts share one message port and differ by their loopback address. The
+ * test speaks to them as operators and upstreams do.
+ */
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "net/fiber_scheduler.h"
+#include "net/http_client.h"
+#include "scenario/process_base.h"
+
+namespace wasabiwind::fleet_control {
+namespace {
+
+namespace fs = std::filesystem;
+using base::Clock;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kOperatorsPort = 18'144;
+constexpr int kMessagePort = 18'380;
+constexpr int kAdminPort = 18'381;
+/** A repair takes some seconds at most; a slow machine gets more. */
+constexpr seconds kPatience{20};
+
+std::string MakeDocument(int version, const std::string &service) {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"r","host":"a.example","pathPrefix":"/p/",)"
+         R"("kind":"safe","timeoutMs":800,"service":")" +
+         service +
+         R"("}],"services":[{"name":"s1","maxConns":10}],"limits":{}})";
+}
+
+class FleetControlTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    std::string pattern = fs::temp_directory_path() / "ww-fleet-XXXXXX";
+    ASSERT_NE(mkdtemp(pattern.data()), nullptr);
+    m_folder = pattern;
+    // Addresses of this test alone, so that two runs don't meet.
+    m_network = "127." + std::to_string(20 + ::getpid() % 200) + "." +
+                std::to_string(::getpid() / 200 % 250) + ".";
+    for (int host = 1; host <= 3; ++host) Start(host, /*is_first=*/true);
+  }
+
+  void TearDown() override {
+    m_processes.clear();
+    if (!HasFailure()) fs::remove_all(m_folder);
+  }
+
+  std::string Address(int host, int port) const {
+    return m_network + std::to_string(host) + ":" + std::to_string(port);
+  }
+
+  fs::path DataFolder(int host) const {
+    return m_folder / ("data-" + std::to_string(host));
+  }
+
+  void Start(int host, bool is_first) {
+    fs::path settings = m_folder / (std::to_string(host) + ".ini");
+    std::ofstream(settings)
+        << "[node]\nname = core-" << host
+        << "\n[admin]\nlisten = " << Address(host, kAdminPort)
+        << "\n[network]\nmessage_address = " << Address(host, kMessagePort)
+        << "\nmessage_port = " << kMessagePort
+        << "\ncontrol_hosts = " << Address(1, kOperatorsPort) << ","
+        << Address(2, kOperatorsPort) << "," << Address(3, kOperatorsPort)
+        << "\n[group]\ndata_folder = " << DataFolder(host).string()
+        << "\nlisten = " << Address(host, kOperatorsPort)
+        << "\nis_first_start = " << (is_first ? "true" : "false") << "\n";
+    auto process = std::make_unique<scenario::ChildProcess>();
+    ASSERT_TRUE(process->Start(WW_PLATFORM_CONTROL,
+                               {"--config=" + settings.string()},
+                               m_folder / ("log-" + std::to_string(host))));
+    m_processes[host] = std::move(process);
+  }
+
+  void Kill(int host) {
+    m_processes[host]->Signal(SIGKILL);
+    m_processes[host]->WaitUntil(Clock::now() + seconds(5));
+  }
+
+  /** Sends one request to a host, following a redirect to the leader. */
+  net::HttpResponse Call(int host, const std::string &method,
+                         const std::string &target, const std::string &body) {
+    net::HttpResponse result;
+    result.m_status = 0;
+    net::RunFiberThread([&] {
+      net::HttpClientPool client;
+      net::HttpRequest request;
+      request.m_method = method;
+      request.m_target = target;
+      request.m_body = body;
+      std::string address = Address(host, kOperatorsPort);
+      for (int hop = 0; hop < 3; ++hop) {
+        auto answer = client.Fetch(*net::ParseEndpoint(address), request,
+                                   Clock::now() + milliseconds(1'500));
+        if (!answer) return;
+        result = *answer;
+        if (result.m_status != 307) return;
+        std::string location = result.m_headers.Get("Location");
+        address = location.substr(7, location.find('/', 7) - 7);
+      }
+    });
+    return result;
+  }
+
+  /** Repeats a call at one host after the other until it has a status. */
+  bool CallUntil(const std::vector<int> &hosts, int status,
+                 const std::string &method, const std::string &target,
+                 const std::string &body, std::string *answer = nullptr) {
+    auto end = Clock::now() + kPatience;
+    while (Clock::now() < end) {
+      for (int host : hosts) {
+        net::HttpResponse response = Call(host, method, target, body);
+        if (response.m_status != status) continue;
+        if (answer != nullptr) *answer = response.m_body;
+        return true;
+      }
+      std::this_thread::sleep_for(milliseconds(100));
+    }
+    return false;
+  }
+
+  bool Put(const std::vector<int> &hosts, int version) {
+    return CallUntil(hosts, 200, "POST", "/wasabiwind/Config.Put",
+                     MakeDocument(version, "s1"));
+  }
+
+  std::string Get(const std::vector<int> &hosts) {
+    std::string document;
+    CallUntil(hosts, 200, "GET", "/wasabiwind/Config.Get", "", &document);
+    return document;
+  }
+
+  fs::path m_folder;
+  std::string m_network;
+  std::map<int, std::unique_ptr<scenario::ChildProcess>> m_processes;
+};
+
+TEST_F(FleetControlTest, SeedsFormAGroupAndKeepTheHighestVersion) {
+  EXPECT_EQ(Call(1, "GET", "/wasabiwind/Config.Get", "").m_status / 100, 5);
+  ASSERT_TRUE(Put({1, 2, 3}, 5));
+  for (int host = 1; host <= 3; ++host) {
+    EXPECT_EQ(Get({host}), MakeDocument(5, "s1"));
+  }
+  // A resend, an older version and other content under the same version are
+  // acknowledged and change nothing.
+  EXPECT_TRUE(Put({2}, 5));
+  EXPECT_TRUE(Put({3}, 4));
+  EXPECT_EQ(Get({1}), MakeDocument(5, "s1"));
+  // What is invalid is refused under any version, and isn't in force.
+  for (int version : {4, 9}) {
+    EXPECT_TRUE(CallUntil({1, 2, 3}, 400, "POST", "/wasabiwind/Config.Put",
+                          MakeDocument(version, "nobody")));
+  }
+  EXPECT_EQ(Get({2}), MakeDocument(5, "s1"));
+}
+
+TEST_F(FleetControlTest, AcknowledgedTableSurvivesTheDeathOfAll) {
+  ASSERT_TRUE(Put({1, 2, 3}, 7));
+  for (int host = 1; host <= 3; ++host) Kill(host);
+  for (int host = 1; host <= 3; ++host) Start(host, /*is_first=*/false);
+  EXPECT_EQ(Get({1, 2, 3}), MakeDocument(7, "s1"));
+}
+
+// A host that lost its disk must count again by itself, so that the next loss
+// is borne.
+TEST_F(FleetControlTest, EmptiedHostVotesAgainByItself) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  Kill(3);
+  fs::remove_all(DataFolder(3));
+  Start(3, /*is_first=*/false);
+  std::this_thread::sleep_for(seconds(4));
+  Kill(1);
+  EXPECT_TRUE(Put({2, 3}, 3));
+  EXPECT_EQ(Get({2, 3}), MakeDocument(3, "s1"));
+}
+
+// A host that is gone for good gives way to an empty one at another address.
+TEST_F(FleetControlTest, NewHostReplacesALostOne) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  Kill(2);
+  Start(4, /*is_first=*/false);
+  std::this_thread::sleep_for(seconds(4));
+  Kill(1);
+  EXPECT_TRUE(Put({3, 4}, 3));
+  EXPECT_EQ(Get({3, 4}), MakeDocument(3, "s1"));
+}
+
+TEST_F(FleetControlTest, MinorityNeitherAcknowledgesNorAnswersReads) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  Kill(1);
+  Kill(2);
+  std::this_thread::sleep_for(seconds(2));
+  EXPECT_NE(Call(3, "GET", "/wasabiwind/Config.Get", "").m_status, 200);
+  EXPECT_NE(
+      Call(3, "POST", "/wasabiwind/Config.Put", MakeDocument(3, "s1")).m_status,
+      200);
+}
+
+TEST_F(FleetControlTest, ReportsAreAcknowledgedAndHangUpMeansReload) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  m_processes[1]->Signal(SIGHUP);
+  const std::string report =
+      R"({"service":"s1","addr":"10.0.0.9:80","zone":"z","state":"ready",)"
+      R"("slots":4,"seq":1,"born":5})";
+  EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Beat/i-1", report).m_status,
+            200);
+  EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Leave/i-1", "").m_status,
+            200);
+  EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Beat/i-1", "{").m_status,
+            400);
+  EXPECT_TRUE(m_processes[1]->IsRunning());
+}
+
+}  // namespace
+}  // namespace wasabiwind::fleet_control
--- a/tests/fleet_residency_test.cpp
+++ b/tests/fleet_residency_test.cpp
@@ -87,6 +87,20 @@
   EXPECT_TRUE(fleet.Plan(At(20)).m_queries.empty());
 }
 
+// Before traffic began, second copies of busy models gave way to models that
+// would have come back from disk within a second; the first copies were then
+// overloaded. (spillsack-core scale-1.)
+TEST(ResidencyTest, CopiesStayWhileDemandIsUnknown) {
+  PlannerFixture fleet(4);
+  fleet.Report(MakeRunner("i-1", 1, {"m0", "m1"}), At(0));
+  gen::Fact second = MakeRunner("i-2", 1, {"m0", "m2"});
+  second.mutable_upstream()->add_on_disk("m3");
+  fleet.Report(second, At(0));
+  ResidencyActions actions = fleet.Plan(At(10));
+  EXPECT_TRUE(actions.m_queries.empty());
+  EXPECT_TRUE(actions.m_orders.empty());
+}
+
 TEST(ResidencyTest, OrderWithoutAnswerIsRepeatedWithTheSameCount) {
   PlannerFixture fleet(2);
   fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
