--- a/src/fleet_control/group.cpp
+++ b/src/fleet_control/group.cpp
@@ -47,7 +47,7 @@
       m_machine(machine),
       m_hooks(std::move(hooks)) {
   m_policy.m_wanted_voters =
-      static_cast<std::size_t>(2 * m_settings.group().tolerated_losses() + 1);
+      2 * static_cast<std::size_t>(m_settings.group().tolerated_losses()) + 1;
 }
 
 std::string Group::GetEndpoint(const std::string &host) const {
