Forget upstreams that are gone for long; remove what nobody uses

Views, fact logs and learned statistics kept every upstream that ever reported; those gone or silent for 300 s are dropped now.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -47,6 +47,7 @@
 
 std::vector<OutMessage> TickFollower(Follower *follower, base::TimePoint now) {
   ForgetSilentPublishers(follower, now);
+  ForgetUpstreams(&follower->m_view, now);
   std::vector<OutMessage> messages;
   for (const std::string &publisher : ListPublishers(*follower)) {
     auto asked = follower->m_asked_at.find(publisher);
--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -319,10 +319,7 @@
   for (const auto &[target, at] : book.m_unloaded) {
     residency.add_unloaded(target);
   }
-  if (book.m_in_progress && book.m_in_progress->m_is_load &&
-      !book.m_in_progress->m_model.empty()) {
-    residency.add_loading(book.m_in_progress->m_model);
-  }
+
   return residency;
 }
 
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-/** Report number of an upstream that has left. */
 std::pair<std::uint64_t, std::uint64_t> GetVersion(
     const gen::UpstreamReport &report) {
   return {report.born_ms(), report.report_number()};
@@ -205,10 +204,15 @@
   return ReportsTarget(entry.m_report, model, adapter);
 }
 
-bool IsLoadingTarget(const UpstreamEntry &entry, const std::string &target,
-                     base::TimePoint now) {
-  return IsResidencyValid(entry, now) &&
-         Contains(entry.m_residency.loading(), target);
+void ForgetUpstreams(FleetView *view, base::TimePoint now) {
+  absl::erase_if(view->m_upstreams, [&](const auto &item) {
+    const UpstreamEntry &entry = item.second;
+    if (now < entry.m_reported_at + kForgetUpstream) return false;
+    return IsGone(entry.m_report) || IsSilent(*view, entry.m_silence, now);
+  });
+  absl::erase_if(view->m_id_by_address, [view](const auto &item) {
+    return !view->m_upstreams.contains(item.second);
+  });
 }
 
 }  // namespace wasabiwind::fleet
--- a/src/fleet/view_func.h
+++ b/src/fleet/view_func.h
@@ -94,9 +94,11 @@
 bool HasTarget(const UpstreamEntry &entry, const std::string &model,
                const std::string &adapter, base::TimePoint now);
 
-/** @return whether a load of the target was ordered at the runner. */
-bool IsLoadingTarget(const UpstreamEntry &entry, const std::string &target,
-                     base::TimePoint now);
+/** Upstreams that are gone or silent are forgotten after this long. */
+inline constexpr base::milliseconds kForgetUpstream{300'000};
+
+/** Forgets upstreams that have been gone or silent for long. */
+void ForgetUpstreams(FleetView *view, base::TimePoint now);
 
 }  // namespace wasabiwind::fleet
 
--- a/src/fleet_control/publisher.cpp
+++ b/src/fleet_control/publisher.cpp
@@ -95,15 +95,6 @@
   });
 }
 
-std::size_t Publisher::CountFollowers(base::TimePoint now) const {
-  std::size_t count = 0;
-  for (const auto &[endpoint, follower] : m_followers) {
-    bool is_entry = follower.m_kind == fleet::FollowerKind::kEntry;
-    if (is_entry && now < follower.m_heard_at + kInTouch) ++count;
-  }
-  return count;
-}
-
 void Publisher::Run() {
   while (!m_is_stopped) {
     {
--- a/src/fleet_control/publisher.h
+++ b/src/fleet_control/publisher.h
@@ -63,8 +63,8 @@
 
   const fleet::FactLog &GetLog() const { return m_log; }
 
-  /** @return entry hosts that were heard by this host within a time. */
-  std::size_t CountFollowers(base::TimePoint now) const;
+  /** Withdraws a fact; followers forget it by themselves. */
+  void Forget(const std::string &key) { m_log.m_facts.erase(key); }
 
  private:
   /** A follower that was silent for longer isn't waited for. */
--- a/src/fleet_control/registry.cpp
+++ b/src/fleet_control/registry.cpp
@@ -76,18 +76,28 @@
   // Facts of this host count as those of a publisher in touch.
   m_follower->m_view.m_publishers[m_follower->m_own_endpoint].m_heard_at = now;
   std::vector<gen::Fact> silent;
+  std::vector<std::string> forgotten;
   for (const auto &[key, published] : m_publisher->GetLog().m_facts) {
     const gen::Fact &fact = published.m_fact;
     bool is_silent = fact.upstream().is_silent() || fact.entry().is_silent();
     bool is_gone =
         fact.has_upstream() && fact.upstream().state() == gen::UPSTREAM_GONE;
     auto heard = m_heard.find(key);
-    if (heard == m_heard.end() || is_silent || is_gone) continue;
+    if (heard == m_heard.end()) continue;
+    if (is_silent || is_gone) {
+      bool is_old = now >= heard->second + fleet::kForgetUpstream;
+      if (is_old) forgotten.push_back(key);
+      continue;
+    }
     base::milliseconds limit =
         fact.has_upstream() ? m_upstream_silence : kEntrySilence;
     if (now >= heard->second + limit) silent.push_back(fact);
   }
   for (const gen::Fact &fact : silent) MarkSilent(fact, now);
+  for (const std::string &key : forgotten) {
+    m_publisher->Forget(key);
+    m_heard.erase(key);
+  }
 }
 
 }  // namespace wasabiwind::fleet_control
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,7 +54,6 @@
     : m_settings(std::move(settings)),
       m_protocol(protocol),
       m_sender(std::move(sender)) {
-  m_random.m_state = base::MakeSeed();
   m_self.set_name(m_settings.node().name());
   m_self.set_born_ms(GetWallMs());
   m_self.set_endpoint(m_settings.network().message_address());
@@ -239,6 +238,14 @@
   }
 }
 
+/** Drops what was learned of upstreams that nobody knows any more. */
+void Gateway::ForgetStats() {
+  absl::erase_if(m_stats, [this](const auto &item) {
+    return item.second.m_in_flight == 0 &&
+           !m_follower.m_view.m_upstreams.contains(item.first);
+  });
+}
+
 /** Finds callers that have gone and stops their requests. */
 void Gateway::SweepActive() {
   for (RequestScope *scope : m_active) {
@@ -255,6 +262,7 @@
     RefreshIdentity();
     SendAll(fleet::TickFollower(&m_follower, now));
     RefillBudgets(now);
+    ForgetStats();
     SendUse(now);
     SweepActive();
     net::SleepFor(kTick);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,7 +12,6 @@
 #include <set>
 #include <string>
 
-#include "base/random_func.h"
 #include "fleet/follower_func.h"
 #include "gateway/choose_func.h"
 #include "gateway/directory_func.h"
@@ -105,6 +104,7 @@
   void SendAll(const std::vector<fleet::OutMessage> &messages);
   void AdoptRoutes(gen::RouteTable table);
   void SweepActive();
+  void ForgetStats();
   void SendUse(base::TimePoint now);
   void AddUpstreams(gen::UseReport *report, base::TimePoint now);
   void RefreshIdentity();
@@ -123,7 +123,7 @@
   UseCounts m_uses;
   std::map<std::string, route::Budget> m_budgets;  ///< by service
   base::TimePoint m_budgets_at;
-  base::Random m_random;
+
   std::unique_ptr<net::HttpClientPool> m_client;
   std::set<RequestScope *> m_active;
   boost::fibers::mutex m_mutex;
--- a/src/gateway/protocol_type.h
+++ b/src/gateway/protocol_type.h
@@ -26,7 +26,7 @@
   std::string m_model;    ///< "" if it needs none
   std::string m_adapter;  ///< "" if it needs none
   std::uint32_t m_prompt_tokens = 0;
-  std::uint32_t m_max_output_tokens = 0;
+
   std::vector<PromptPart> m_parts;  ///< of the prompt, in order
   /** Time that the caller will wait; nullopt if it doesn't say. */
   std::optional<base::milliseconds> m_patience;
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -112,6 +112,19 @@
   EXPECT_TRUE(HasTarget(Get(view, "i-1"), "m1", "", At(5'000)));
 }
 
+// Upstreams come and go for years; what is gone must not pile up.
+TEST(FleetViewTest, ForgetsUpstreamsThatAreGoneForLong) {
+  FleetView view;
+  view.m_publishers[kA].m_heard_at = At(301'000);
+  ApplyFact(&view, kA, MakeReport("i-1", 5, 9, gen::UPSTREAM_GONE), At(0));
+  ApplyFact(&view, kA, MakeReport("i-2", 6, 9, gen::UPSTREAM_READY), At(0));
+  ForgetUpstreams(&view, At(299'000));
+  EXPECT_EQ(view.m_upstreams.size(), 2u);
+  ForgetUpstreams(&view, At(301'000));
+  EXPECT_EQ(view.m_upstreams.size(), 1u);
+  EXPECT_TRUE(IsServing(view, Get(view, "i-2")));
+}
+
 TEST(FactLogTest, SameReportUnderAnotherNumberIsNoChange) {
   FactLog log;
   log.m_epoch = 1;
