Reserve room again when an order without answer is repeated

Ruled out: the late first order (the runner's count moved once).

RepeatedOrderReservesRoomAgain fails without the change.

--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -392,18 +392,18 @@
   if (!book->m_in_doubt) {
     order.m_upstream = runner->m_id;
     order.m_expected = *book->m_accepted;
-    if (order.m_adapter.empty()) {
-      double estimate = order.m_is_load
-                            ? EstimateLoadMs(*pass, *runner, order.m_model)
-                            : static_cast<double>(kUnloadEstimate.count());
-      book->m_in_progress = OrderInProgress{
-          order.m_model, order.m_is_load, order.m_is_from_store,
-          pass->m_now + base::milliseconds(static_cast<int>(estimate))};
-    }
-    if (!order.m_is_load) {
-      book->m_unloaded[MakeTarget(order.m_model, order.m_adapter)] =
-          UnreportedChange{pass->m_now, book->m_report_number};
-    }
+  }
+  if (order.m_adapter.empty()) {
+    double estimate = order.m_is_load
+                          ? EstimateLoadMs(*pass, *runner, order.m_model)
+                          : static_cast<double>(kUnloadEstimate.count());
+    book->m_in_progress = OrderInProgress{
+        order.m_model, order.m_is_load, order.m_is_from_store,
+        pass->m_now + base::milliseconds(static_cast<int>(estimate))};
+  }
+  if (!order.m_is_load) {
+    book->m_unloaded[MakeTarget(order.m_model, order.m_adapter)] =
+        UnreportedChange{pass->m_now, book->m_report_number};
   }
   if (order.m_is_from_store) {
     pass->m_planner->m_store_loads.push_back(pass->m_now);
--- a/tests/fleet_residency_test.cpp
+++ b/tests/fleet_residency_test.cpp
@@ -117,6 +117,29 @@
   EXPECT_EQ(second.m_orders[0].m_expected, 3u);
 }
 
+// A status said that the runner wasn't busy while an order was in doubt; the
+// repeated order then reserved no room. (LIMIT on spillsack-core with
+// late-orders-new-leader, seed 298094673652.)
+TEST(ResidencyTest, RepeatedOrderReservesRoomAgain) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.Answer("i-1", 3, At(30));
+  ResidencyActions first = fleet.Plan(At(40));
+  ASSERT_EQ(first.m_orders.size(), 1u);
+  RecordOrderOutcome(&fleet.m_planner, first.m_orders[0],
+                     OrderOutcome::kUnknown, At(840));
+  ASSERT_EQ(fleet.Plan(At(9'000)).m_queries.size(), 1u);
+  fleet.Answer("i-1", 3, At(9'010));
+  ResidencyActions repeated = fleet.Plan(At(9'020));
+  ASSERT_EQ(repeated.m_orders.size(), 1u);
+  RecordOrderOutcome(&fleet.m_planner, repeated.m_orders[0],
+                     OrderOutcome::kStarted, At(9'030));
+  RecordUse(&fleet.m_planner, MakeUse("m2", "", 1), At(9'040));
+  EXPECT_TRUE(fleet.Plan(At(9'050)).m_orders.empty());
+}
+
 TEST(ResidencyTest, UnreachableRunnerGetsNoOrders) {
   PlannerFixture fleet(2);
   fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
