Weigh copies of models by the waits that they save; refuse streams in time

Demand was a mean of 6 s, so that a model that rose in 5 s got its second copy too late. Loads that were intended didn't count as loads from the store, so that more than four shared its speed. Stream callers leave after 3.2 s without an event while their request was held for up to 9 s.

Now the gain of a copy is the wait at runners by their rate, which also places copies on runners with little work; a fast rise counts at once; a model that may become the busiest gets its weights on a second disk; an unload that waits for its runs keeps its model out of reach; a runner that refuses connections is left alone for longer; streams are refused while their callers still wait. residency_plan.cpp is split into costs, models, adapters and the pass.

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -12,8 +12,13 @@
 
 namespace {
 
-/** Time constant of the mean rate of requests. */
+/** Time constants of the mean rates of requests. */
 constexpr double kRateSeconds = 6.0;
+constexpr double kRecentRateSeconds = 1.5;
+/** Below this recent rate, a few requests say nothing of a rise. */
+constexpr double kLeastRecentRate = 2.0;
+/** So many unreachable runners say nothing of the host that reports them. */
+constexpr std::size_t kFewRunners = 2;
 constexpr std::size_t kMostBooks = 4'096;
 /** A report of waiting requests counts for this long. */
 constexpr base::milliseconds kWaitingLifetime{1'500};
@@ -30,8 +35,6 @@
 constexpr base::milliseconds kLateBy{1'000};
 constexpr base::milliseconds kUnknownBusy{1'500};
 
-double Decay(double seconds) { return std::exp(-seconds / kRateSeconds); }
-
 double ToSeconds(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -39,10 +42,13 @@
 void AddArrivals(TargetDemand *demand, std::uint32_t arrivals,
                  base::TimePoint now) {
   if (demand->m_rate_at != base::TimePoint()) {
-    demand->m_rate *= Decay(ToSeconds(now - demand->m_rate_at));
+    double seconds = ToSeconds(now - demand->m_rate_at);
+    demand->m_rate *= std::exp(-seconds / kRateSeconds);
+    demand->m_recent_rate *= std::exp(-seconds / kRecentRateSeconds);
   }
   demand->m_rate_at = now;
   demand->m_rate += arrivals / kRateSeconds;
+  demand->m_recent_rate += arrivals / kRecentRateSeconds;
 }
 
 bool ReportsTarget(const gen::UpstreamReport &report,
@@ -63,13 +69,16 @@
  * Drops changes that the runner's report shows, and those that several reports
  * haven't shown.
  * @param is_loaded whether the changes are loads
+ * @param kept target whose change isn't complete yet, or ""
  */
 void DropReported(UnreportedChanges *changes, const gen::UpstreamReport &report,
-                  bool is_loaded, base::TimePoint now) {
+                  bool is_loaded, const std::string &kept,
+                  base::TimePoint now) {
   std::erase_if(*changes, [&](const auto &item) {
     const UnreportedChange &change = item.second;
     if (report.report_number() <= change.m_report_number) return false;
     if (ReportsTarget(report, item.first) == is_loaded) return true;
+    if (item.first == kept) return false;
     return now >= change.m_at + kReportLag &&
            report.report_number() >= change.m_report_number + kLateReports;
   });
@@ -98,8 +107,12 @@
 void RecordUse(ResidencyPlanner *planner, const gen::UseReport &report,
                base::TimePoint now) {
   if (!planner->m_first_use_at) planner->m_first_use_at = now;
-  for (const std::string &upstream : report.unreachable()) {
-    planner->m_unreachable[upstream] = now;
+  // A host that reaches few runners is cut off itself.
+  auto unreachable = static_cast<std::size_t>(report.unreachable_size());
+  if (unreachable <= std::max(kFewRunners, planner->m_books.size() / 2)) {
+    for (const std::string &upstream : report.unreachable()) {
+      planner->m_unreachable[upstream] = now;
+    }
   }
   for (const gen::TargetUse &use : report.uses()) {
     TargetKey key{use.service(), use.model(), use.adapter()};
@@ -124,7 +137,12 @@
                base::TimePoint now) {
   auto found = planner.m_demands.find(key);
   if (found == planner.m_demands.end()) return 0;
-  return found->second.m_rate * Decay(ToSeconds(now - found->second.m_rate_at));
+  const TargetDemand &demand = found->second;
+  double seconds = ToSeconds(now - demand.m_rate_at);
+  double rate = demand.m_rate * std::exp(-seconds / kRateSeconds);
+  double recent =
+      demand.m_recent_rate * std::exp(-seconds / kRecentRateSeconds);
+  return recent < kLeastRecentRate ? rate : std::max(rate, recent);
 }
 
 std::uint32_t CountWaiting(const TargetDemand &demand, base::TimePoint now) {
@@ -160,9 +178,12 @@
   FinishByReport(book, report, now);
   if (book->m_report_number != report.report_number()) {
     book->m_report_number = report.report_number();
-    DropReported(&book->m_loaded, report, /*is_loaded=*/true, now);
-    DropReported(&book->m_maybe_loaded, report, /*is_loaded=*/true, now);
-    DropReported(&book->m_unloaded, report, /*is_loaded=*/false, now);
+    DropReported(&book->m_loaded, report, /*is_loaded=*/true, "", now);
+    DropReported(&book->m_maybe_loaded, report, /*is_loaded=*/true, "", now);
+    // An unload waits for the runs of its model, which may take seconds.
+    bool is_unloading = book->m_in_progress && !book->m_in_progress->m_is_load;
+    DropReported(&book->m_unloaded, report, /*is_loaded=*/false,
+                 is_unloading ? book->m_in_progress->m_model : "", now);
   }
   std::erase_if(book->m_refused, [now](const auto &item) {
     return now >= item.second + kRefusalPause;
--- a/src/fleet/residency_func.h
+++ b/src/fleet/residency_func.h
@@ -65,7 +65,7 @@
 /** Forgets what was known of runners, when another host may have ordered. */
 void ResetBooks(ResidencyPlanner *planner);
 
-/** @return requests a second for a target, as of now. */
+/** @return requests a second for a target; a fast rise counts at once. */
 double GetRate(const ResidencyPlanner &planner, const TargetKey &key,
                base::TimePoint now);
 
--- /dev/null
+++ b/src/fleet/residency_pass.cpp
@@ -0,0 +1,318 @@
+/** @file residency_pass.cpp What a pass of the planner knows, and its orders.
+ */
+
+#include <algorithm>
+#include <limits>
+
+#include "fleet/residency_internal.h"
+
+namespace wasabiwind::fleet {
+
+namespace {
+
+/** Requests a second assumed for a model that nobody asked for yet. */
+constexpr double kUnknownRate = 0.05;
+constexpr base::milliseconds kUnloadEstimate{1'000};
+/** A runner that an entry host couldn't reach gets no orders for so long. */
+constexpr base::milliseconds kUnreachableTime{1'500};
+/** A target used within this time may have runs, which an unload waits for. */
+constexpr base::milliseconds kInUse{1'300};
+/** A host that hears of requests for the first time learns for so long. */
+constexpr base::milliseconds kLearnDemand{3'000};
+/** Adapters of a model asked for by more than this rate keep a slot. */
+constexpr double kAdapterRate = 0.05;
+/** Added to the load window, for orders that travel at different speeds. */
+constexpr base::milliseconds kLoadWindowMargin{1'000};
+
+bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
+              const std::string &item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+void CollectHeld(const Pass &pass, Runner *runner) {
+  const RunnerBook &book = *runner->m_book;
+  std::set<std::string> reserved;
+  for (const gen::ResidentModel &held : runner->m_entry->m_report.models()) {
+    reserved.insert(held.name());
+    for (const std::string &adapter : held.adapters()) {
+      runner->m_adapters.insert(MakeTarget(held.name(), adapter));
+    }
+  }
+  for (const auto &[target, change] : book.m_loaded) {
+    bool is_model = target.find('/') == std::string::npos;
+    (is_model ? reserved : runner->m_adapters).insert(target);
+  }
+  runner->m_models = reserved;
+  for (const auto &[target, change] : book.m_maybe_loaded) {
+    bool is_model = target.find('/') == std::string::npos;
+    if (is_model) reserved.insert(target);
+    if (!is_model && !runner->m_adapters.contains(target)) {
+      ++runner->m_reserved_slots;
+    }
+  }
+  for (const auto &[target, at] : book.m_unloaded) {
+    runner->m_models.erase(target);
+    runner->m_adapters.erase(target);
+  }
+  if (book.m_in_progress && book.m_in_progress->m_is_load) {
+    reserved.insert(book.m_in_progress->m_model);
+  }
+  for (const std::string &model : reserved) {
+    runner->m_used_mb += GetWeight(pass, *runner, model);
+  }
+}
+
+/** Adds a runner's copies to those that bear the demand. */
+void CountCopies(Pass *pass, std::size_t position) {
+  const Runner &runner = pass->m_runners[position];
+  const RunnerBook &book = *runner.m_book;
+  std::set<std::string> models = runner.m_models;
+  for (const std::string &model : models) {
+    pass->m_demands[{runner.m_service->name(), model, ""}].m_serving.push_back(
+        position);
+  }
+  if (book.m_in_progress && book.m_in_progress->m_is_load) {
+    models.insert(book.m_in_progress->m_model);
+    if (book.m_in_progress->m_is_from_store) ++pass->m_store_loads;
+  }
+  if (book.m_intention) {
+    const std::string &model = book.m_intention->m_model;
+    models.insert(model);
+    if (GetSource(runner, model) == LoadSource::kStore) ++pass->m_store_loads;
+  }
+  for (const std::string &model : models) {
+    ++pass->m_demands[{runner.m_service->name(), model, ""}].m_copies;
+  }
+}
+
+/** @return adapters of a model that are asked for again and again. */
+std::size_t CountAskedAdapters(const Pass &pass, const TargetKey &key) {
+  std::size_t count = 0;
+  auto found = pass.m_planner->m_demands.upper_bound(key);
+  for (; found != pass.m_planner->m_demands.end(); ++found) {
+    if (found->first.m_service != key.m_service ||
+        found->first.m_model != key.m_model) {
+      break;
+    }
+    if (GetRate(*pass.m_planner, found->first, pass.m_now) > kAdapterRate) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+double GetModelRate(const Pass &pass, const TargetKey &key, int copies) {
+  double rate =
+      std::max(kUnknownRate, GetRate(*pass.m_planner, key, pass.m_now));
+  if (IsDemandKnown(pass) || copies < 2) return rate;
+  // Until then, the copies that are there tell how busy a model is.
+  return std::max(rate,
+                  copies * pass.m_planner->m_settings.m_requests_per_copy);
+}
+
+/** Shares the demand for each model between its copies. */
+void ShareDemand(Pass *pass) {
+  for (auto &[key, demand] : pass->m_demands) {
+    demand.m_rate = GetModelRate(*pass, key, demand.m_copies);
+    demand.m_adapters = CountAskedAdapters(*pass, key);
+    for (std::size_t position : demand.m_serving) {
+      pass->m_runners[position].m_rate += demand.m_rate / demand.m_copies;
+    }
+  }
+}
+
+void CollectRunners(Pass *pass) {
+  std::set<std::string> known;
+  std::erase_if(pass->m_planner->m_unreachable, [pass](const auto &item) {
+    return pass->m_now >= item.second + kUnreachableTime;
+  });
+  for (const auto &[id, entry] : pass->m_view->m_upstreams) {
+    const gen::RoutedService *service =
+        routes::FindService(*pass->m_routes, entry.m_report.service());
+    if (service == nullptr || !service->has_engine()) continue;
+    bool is_usable = IsServing(*pass->m_view, entry) &&
+                     !entry.m_report.has_end() &&
+                     !IsSilent(*pass->m_view, entry.m_silence, pass->m_now);
+    if (!is_usable || pass->m_planner->m_unreachable.contains(id)) continue;
+    known.insert(id);
+    RunnerBook &book = pass->m_planner->m_books[id];
+    RefreshBook(&book, entry, pass->m_now);
+    Runner runner{id, &entry, service, &book, {}, {}, 0, 0, 0};
+    CollectHeld(*pass, &runner);
+    pass->m_runners.push_back(std::move(runner));
+  }
+  std::erase_if(pass->m_planner->m_books, [&known](const auto &item) {
+    return !known.contains(item.first) && !item.second.m_is_calling;
+  });
+  std::sort(pass->m_runners.begin(), pass->m_runners.end(),
+            [](const Runner &a, const Runner &b) { return a.m_id < b.m_id; });
+}
+
+/** @return whether a load is in progress or intended. */
+bool IsComing(const Runner &runner, const std::string &model) {
+  const RunnerBook &book = *runner.m_book;
+  bool is_loading = book.m_in_progress && book.m_in_progress->m_is_load &&
+                    book.m_in_progress->m_model == model;
+  return is_loading || (book.m_intention && book.m_intention->m_model == model);
+}
+
+}  // namespace
+
+void CollectFleet(Pass *pass) {
+  CollectRunners(pass);
+  for (const gen::RoutedService &service : pass->m_routes->m_table.services()) {
+    for (const gen::HostedModel &model : service.engine().models()) {
+      pass->m_demands.try_emplace({service.name(), model.name(), ""});
+    }
+  }
+  for (std::size_t i = 0; i < pass->m_runners.size(); ++i) {
+    CountCopies(pass, i);
+  }
+  ShareDemand(pass);
+}
+
+double GetWeight(const Pass &pass, const Runner &runner,
+                 const std::string &model) {
+  const gen::HostedModel *declared =
+      routes::FindModel(*pass.m_routes, runner.m_service->name(), model);
+  return declared == nullptr ? 0 : declared->weight_mb();
+}
+
+double GetCapacity(const Runner &runner) {
+  const gen::EngineCapacity &engine = runner.m_service->engine();
+  double adapter_mb = 0;
+  for (const gen::HostedModel &model : engine.models()) {
+    if (model.adapters() != 0) {
+      adapter_mb = std::max(adapter_mb, model.adapter_mb());
+    }
+  }
+  return engine.weight_mb() - engine.adapter_slots() * adapter_mb;
+}
+
+LoadSource GetSource(const Runner &runner, const std::string &model) {
+  const gen::UpstreamReport &report = runner.m_entry->m_report;
+  if (Contains(report.in_memory(), model)) return LoadSource::kMemory;
+  if (Contains(report.on_disk(), model)) return LoadSource::kDisk;
+  return LoadSource::kStore;
+}
+
+std::size_t CountNear(const Pass &pass, const TargetKey &key) {
+  return static_cast<std::size_t>(std::count_if(
+      pass.m_runners.begin(), pass.m_runners.end(),
+      [&key](const Runner &runner) {
+        return runner.m_service->name() == key.m_service &&
+               (GetSource(runner, key.m_model) != LoadSource::kStore ||
+                IsComing(runner, key.m_model));
+      }));
+}
+
+bool MayLoadFromStore(const Pass &pass, const gen::RoutedService &service,
+                      std::size_t limit) {
+  ResidencyPlanner *planner = pass.m_planner;
+  base::Duration window = planner->m_settings.m_load_window + kLoadWindowMargin;
+  while (!planner->m_store_loads.empty() &&
+         pass.m_now >= planner->m_store_loads.front() + window) {
+    planner->m_store_loads.pop_front();
+  }
+  double seconds =
+      std::chrono::duration<double>(planner->m_settings.m_load_window).count();
+  auto most = static_cast<std::size_t>(
+      std::max(1.0, service.engine().loads_per_second() * seconds));
+  return planner->m_store_loads.size() < most && pass.m_store_loads < limit;
+}
+
+double EstimateLoadMs(const Pass &pass, const Runner &runner,
+                      const std::string &model) {
+  const gen::HostedModel *declared =
+      routes::FindModel(*pass.m_routes, runner.m_service->name(), model);
+  if (declared == nullptr) return std::numeric_limits<double>::infinity();
+  switch (GetSource(runner, model)) {
+    case LoadSource::kMemory:
+      return declared->memory_load_ms();
+    case LoadSource::kDisk:
+      return declared->disk_load_ms();
+    case LoadSource::kStore:
+    case LoadSource::kEnd:
+      break;
+  }
+  double crowd = static_cast<double>(pass.m_store_loads + 1) /
+                 static_cast<double>(std::max<std::size_t>(
+                     1, pass.m_planner->m_settings.m_store_loads));
+  return declared->store_load_ms() * std::max(1.0, crowd);
+}
+
+const ModelDemand &GetDemand(const Pass &pass, const TargetKey &key) {
+  static const ModelDemand kNone;
+  auto found = pass.m_demands.find(key);
+  return found == pass.m_demands.end() ? kNone : found->second;
+}
+
+bool IsDemandKnown(const Pass &pass) {
+  const std::optional<base::TimePoint> &first = pass.m_planner->m_first_use_at;
+  return first && pass.m_now >= *first + kLearnDemand;
+}
+
+bool IsInUse(const Pass &pass, const Runner &runner,
+             const std::string &target) {
+  auto used = runner.m_book->m_used.find(target);
+  return used != runner.m_book->m_used.end() &&
+         pass.m_now < used->second + kInUse;
+}
+
+bool CanCall(const Pass &pass, const Runner &runner) {
+  return !runner.m_book->m_is_calling &&
+         pass.m_now >= runner.m_book->m_retry_at;
+}
+
+void Emit(Pass *pass, Runner *runner, PlannedOrder order) {
+  RunnerBook *book = runner->m_book;
+  if (!book->m_accepted) {
+    book->m_is_calling = true;
+    pass->m_actions->m_queries.push_back(runner->m_id);
+    return;
+  }
+  if (!book->m_in_doubt) {
+    order.m_upstream = runner->m_id;
+    order.m_expected = *book->m_accepted;
+  }
+  const ModelDemand &demand =
+      GetDemand(*pass, {runner->m_service->name(), order.m_model, ""});
+  order.m_rate = demand.m_rate;
+  order.m_copies = demand.m_copies;
+  if (order.m_adapter.empty()) {
+    double estimate = order.m_is_load
+                          ? EstimateLoadMs(*pass, *runner, order.m_model)
+                          : static_cast<double>(kUnloadEstimate.count());
+    book->m_in_progress = OrderInProgress{
+        order.m_model, order.m_is_load, order.m_is_from_store,
+        pass->m_now + base::milliseconds(static_cast<int>(estimate))};
+  }
+  if (!order.m_is_load) {
+    book->m_unloaded[MakeTarget(order.m_model, order.m_adapter)] =
+        UnreportedChange{pass->m_now, book->m_report_number};
+  }
+  if (order.m_is_from_store) {
+    pass->m_planner->m_store_loads.push_back(pass->m_now);
+  }
+  book->m_is_calling = true;
+  pass->m_actions->m_orders.push_back(std::move(order));
+}
+
+std::vector<RankedDemand> ListWaiting(const Pass &pass, bool wants_adapters) {
+  std::vector<RankedDemand> demands;
+  for (const auto &[key, demand] : pass.m_planner->m_demands) {
+    if (key.m_adapter.empty() == wants_adapters) continue;
+    std::uint32_t waiting = CountWaiting(demand, pass.m_now);
+    if (waiting == 0) continue;
+    demands.push_back(
+        RankedDemand{key, GetWaitingRank(demand, pass.m_now), waiting});
+  }
+  std::stable_sort(demands.begin(), demands.end(),
+                   [](const RankedDemand &a, const RankedDemand &b) {
+                     return std::make_pair(a.m_rank, b.m_waiting) <
+                            std::make_pair(b.m_rank, a.m_waiting);
+                   });
+  return demands;
+}
+
+}  // namespace wasabiwind::fleet
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -37,8 +37,9 @@
 };
 
 struct TargetDemand {
-  double m_rate = 0;          ///< requests a second, decaying mean
-  base::TimePoint m_rate_at;  ///< time of m_rate
+  double m_rate = 0;          ///< requests a second, mean of some seconds
+  double m_recent_rate = 0;   ///< requests a second, mean of about a second
+  base::TimePoint m_rate_at;  ///< time of both rates
   std::map<std::string, WaitingReport> m_waiting;  ///< by entry host
 };
 
@@ -51,6 +52,8 @@
   bool m_is_from_store = false;  ///< load that the weight store counts
   std::uint64_t m_expected = 0;  ///< orders accepted before it
   const char *m_reason = "";     ///< for the log
+  double m_rate = 0;             ///< demand for the model, for the log
+  int m_copies = 0;              ///< that were known, for the log
 };
 
 /** Load or unload of a model that a runner carries out. */
@@ -66,6 +69,7 @@
   std::string m_model;
   base::TimePoint m_since;
   const char *m_reason = "";
+  double m_gain = 0;  ///< milliseconds of waiting avoided
 };
 
 /** A change at a runner that its reports may not show yet. */
@@ -100,6 +104,7 @@
 struct ResidencySettings {
   base::milliseconds m_load_window{5'000};  ///< over which loads are counted
   std::size_t m_store_loads = 4;            ///< at once, for waiting requests
+  std::size_t m_urgent_loads = 3;           ///< at once, for overloaded copies
   std::size_t m_background_loads = 2;       ///< at once, ahead of requests
   double m_requests_per_copy = 3.0;         ///< a second, that one copy bears
 };
--- a/src/fleet_control/placer.cpp
+++ b/src/fleet_control/placer.cpp
@@ -149,6 +149,8 @@
             {"from_store", order.m_is_from_store},
             {"expected", order.m_expected},
             {"reason", order.m_reason},
+            {"rate", order.m_rate},
+            {"copies", order.m_copies},
             {"outcome", GetOutcomeName(outcome)},
             {"took_ms", base::ToMilliseconds(base::Clock::now() - start)}});
 }
--- a/src/fleet_control/registry.h
+++ b/src/fleet_control/registry.h
@@ -46,7 +46,7 @@
  private:
   static constexpr base::milliseconds kEntrySilence{1'600};
   static constexpr base::milliseconds kSilenceMargin{500};
-  static constexpr int kMissedReports = 3;
+  static constexpr int kMissedReports = 2;
 
   void MarkSilent(const gen::Fact &fact, base::TimePoint now);
 
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -18,14 +18,16 @@
 
 /** A request with less time left isn't sent any more. */
 constexpr base::milliseconds kLeastSendTime{10};
-/** Share of its time that a request waits for an upstream. */
-constexpr double kWaitShare = 0.6;
+/** Share of its caller's patience that a request waits for an upstream. */
+constexpr double kWaitShare = 0.55;
 /** Longest sleep between two looks at the upstreams. */
 constexpr base::milliseconds kWaitStep{250};
 /** Pause before upstreams that refused a request are tried again. */
 constexpr base::milliseconds kRefusedPause{60};
 constexpr int kMostNotRuns = 4;
 constexpr base::milliseconds kRetryAfter{250};
+/** A model that no runner holds may have to come from the weight store. */
+constexpr base::milliseconds kModelRetryAfter{3'500};
 constexpr base::milliseconds kDefaultPatience{30'000};
 /** Longest wait for a first table, and share of a request's time. */
 constexpr base::milliseconds kMostStartWait{3'000};
@@ -237,9 +239,14 @@
  */
 bool Gateway::WaitForChoice(RequestScope *scope, ChoiceProblem problem) {
   base::TimePoint start = base::Clock::now();
-  auto longest = std::chrono::duration_cast<base::Duration>(
-      (scope->m_deadline - scope->m_started) * kWaitShare);
-  base::TimePoint give_up = scope->m_started + longest;
+  base::Duration patience = scope->m_deadline - scope->m_started;
+  if (scope->m_route->kind() == gen::ROUTE_STREAM) {
+    patience = std::min<base::Duration>(
+        patience, routes::GetPausePatience(*scope->m_route));
+  }
+  base::TimePoint give_up =
+      scope->m_started +
+      std::chrono::duration_cast<base::Duration>(patience * kWaitShare);
   if (start >= give_up || m_is_refusing) return false;
   if (problem == ChoiceProblem::kAllExcluded) {
     net::SleepFor(kRefusedPause);
@@ -290,7 +297,10 @@
   facts.m_request_id = scope->m_facts.m_id;
   facts.m_reason = reason;
   facts.m_message = message;
-  if (status == 503) facts.m_retry_after = kRetryAfter;
+  bool is_model = reason == GetProblemName(ChoiceProblem::kNoModel);
+  if (status == 503) {
+    facts.m_retry_after = is_model ? kModelRetryAfter : kRetryAfter;
+  }
   scope->m_status = status;
   scope->m_outcome = "refused";
   scope->m_reason = reason;
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -16,7 +16,9 @@
 constexpr double kSlownessWeight = 0.3;  ///< of the newest answer
 constexpr double kMostSlowness = 20.0;
 constexpr double kSuccessFactor = 0.7;
+/** Pause after a first refused connection; each further one doubles it. */
 constexpr base::milliseconds kDownTime{1'000};
+constexpr int kMostDoublings = 2;
 constexpr double kUnreachableWeight = 2.0;
 
 double HalfLifeFactor(double seconds, double half_life) {
@@ -92,6 +94,7 @@
                    base::Duration expected, base::TimePoint now) {
   DecayStats(stats, now);
   stats->m_failures *= kSuccessFactor;
+  stats->m_unreachable_count = 0;
   double ratio =
       std::chrono::duration<double>(actual).count() /
       std::max(1e-3, std::chrono::duration<double>(expected).count());
@@ -113,8 +116,12 @@
 }
 
 void RecordUnreachable(UpstreamStats *stats, base::TimePoint now) {
+  // Requests that were on their way together count as one failure.
+  if (now < stats->m_down_until) return;
   RecordFailure(stats, kUnreachableWeight, now);
-  stats->m_down_until = now + kDownTime;
+  int doublings = std::min(stats->m_unreachable_count, kMostDoublings);
+  ++stats->m_unreachable_count;
+  stats->m_down_until = now + kDownTime * (1 << doublings);
 }
 
 }  // namespace wasabiwind::gateway
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -36,7 +36,8 @@
   double m_failures = 0;              ///< decaying count
   double m_slowness = 1;  ///< decaying ratio of actual to expected time
   base::TimePoint m_updated_at;
-  base::TimePoint m_down_until;  ///< refused connections until then
+  base::TimePoint m_down_until;  ///< gets no requests until then
+  int m_unreachable_count = 0;   ///< connections refused since an answer
   /** Models whose requests it refused as not run, until these times. */
   absl::flat_hash_map<std::string, base::TimePoint> m_refused_models;
   PrefixMemory m_prefixes;
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -13,6 +13,11 @@
 
 namespace {
 
+/** Callers leave a stream after the longest of these pauses. */
+constexpr std::chrono::milliseconds kLeastPausePatience{2'000};
+constexpr int kPatienceObjectives = 4;
+constexpr int kPatienceGaps = 8;
+
 std::string ToLower(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
@@ -136,6 +141,13 @@
   return route.targets(route.targets_size() - 1).service();
 }
 
+std::chrono::milliseconds GetPausePatience(const gen::Route &route) {
+  return std::max(
+      {kLeastPausePatience,
+       std::chrono::milliseconds(route.objective_ms()) * kPatienceObjectives,
+       std::chrono::milliseconds(route.max_gap_ms()) * kPatienceGaps});
+}
+
 bool IsRepeatable(const gen::Route &route) {
   return route.kind() == gen::ROUTE_IDEMPOTENT ||
          (route.kind() == gen::ROUTE_STREAM && route.is_resumable());
--- a/src/routes/table_func.h
+++ b/src/routes/table_func.h
@@ -6,6 +6,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <routes.pb.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -62,6 +63,12 @@
  */
 const std::string &ChooseService(const gen::Route &route, std::uint64_t draw);
 
+/**
+ * @return how long callers of a stream wait for its first or next event before
+ *         they leave
+ */
+std::chrono::milliseconds GetPausePatience(const gen::Route &route);
+
 /** @return whether a request of the route may run more than once. */
 bool IsRepeatable(const gen::Route &route);
 
--- a/tests/fleet_residency_test.cpp
+++ b/tests/fleet_residency_test.cpp
@@ -163,5 +163,86 @@
   EXPECT_EQ(actions.m_queries[0], "i-2");
 }
 
+/** Reports arrivals of a model at an even rate. */
+void ReportArrivals(PlannerFixture *fleet, const std::string &model,
+                    int from_ms, int to_ms, std::uint32_t each_100_ms) {
+  for (int ms = from_ms; ms < to_ms; ms += 100) {
+    gen::UseReport use = MakeUse(model, "", 0);
+    use.mutable_uses(0)->set_arrivals(each_100_ms);
+    RecordUse(&fleet->m_planner, use, At(ms));
+  }
+}
+
+// A request for a rare model made the runner give up one of two copies of the
+// busiest model, since the other models there had just been used; the last
+// copy was then overloaded. (spillsack-core trouble-1.)
+TEST(ResidencyTest, RareModelDoesNotEvictABusyCopy) {
+  PlannerFixture fleet(4);
+  fleet.Report(MakeRunner("i-1", 1, {"m0", "m1"}), At(0));
+  fleet.Report(MakeRunner("i-2", 1, {"m0", "m2"}), At(0));
+  ReportArrivals(&fleet, "m0", 0, 7'000, /*each_100_ms=*/1);
+  gen::UseReport rare = MakeUse("m3", "", 1);
+  for (const char *model : {"m1", "m2"}) {
+    gen::TargetUse *used = rare.add_uses();
+    used->set_service("llm");
+    used->set_model(model);
+    used->add_upstreams(std::string(model) == "m1" ? "i-1" : "i-2");
+  }
+  RecordUse(&fleet.m_planner, rare, At(7'000));
+  fleet.Plan(At(7'010));
+  fleet.Answer("i-1", 0, At(7'020));
+  fleet.Answer("i-2", 0, At(7'020));
+  for (const PlannedOrder &order : fleet.Plan(At(7'030)).m_orders) {
+    EXPECT_TRUE(order.m_is_load || order.m_model != "m0");
+  }
+}
+
+// Demand moved to another model within 5 s, and the second copy was ordered
+// only when the only one had been overloaded for seconds. (spillsack-core
+// trouble-1.)
+TEST(ResidencyTest, RisingModelGetsACopyWithinTwoSeconds) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0"}), At(0));
+  fleet.Report(MakeRunner("i-2", 1, {"m1", "m2"}), At(0));
+  ReportArrivals(&fleet, "m1", 0, 7'000, /*each_100_ms=*/0);
+  ReportArrivals(&fleet, "m0", 7'000, 8'500, /*each_100_ms=*/1);
+  fleet.Plan(At(8'500));
+  fleet.Answer("i-2", 0, At(8'510));
+  ResidencyActions actions = fleet.Plan(At(8'520));
+  ASSERT_EQ(actions.m_orders.size(), 1u);
+  EXPECT_EQ(actions.m_orders[0].m_upstream, "i-2");
+  EXPECT_STREQ(actions.m_orders[0].m_reason, "busy");
+}
+
+// A further copy on a runner that is busy with another model helps less than
+// one on an idle runner.
+TEST(ResidencyTest, FurtherCopyGoesToTheRunnerWithLeastWork) {
+  PlannerFixture fleet(4);
+  fleet.Report(MakeRunner("i-1", 1, {"m1"}), At(0));
+  fleet.Report(MakeRunner("i-2", 1, {"m2"}), At(0));
+  fleet.Report(MakeRunner("i-3", 1, {"m3"}), At(0));
+  for (int ms = 0; ms < 7'000; ms += 100) {
+    ReportArrivals(&fleet, "m1", ms, ms + 100, /*each_100_ms=*/1);
+    if (ms % 200 == 0) ReportArrivals(&fleet, "m2", ms, ms + 100, 1);
+  }
+  ResidencyActions actions = fleet.Plan(At(7'000));
+  ASSERT_EQ(actions.m_queries.size(), 1u);
+  EXPECT_EQ(actions.m_queries[0], "i-3");
+}
+
+// One entry host that was cut off from its runners made the leader believe
+// that no runner could be reached.
+TEST(ResidencyTest, EntryHostThatReachesFewRunnersIsNotBelieved) {
+  PlannerFixture fleet(5);
+  gen::UseReport use = MakeUse("m4", "", 1);
+  for (const char *id : {"i-1", "i-2", "i-3", "i-4"}) {
+    fleet.Report(MakeRunner(id, 1, {"m0"}), At(0));
+    use.add_unreachable(id);
+  }
+  fleet.Plan(At(5));
+  RecordUse(&fleet.m_planner, use, At(10));
+  EXPECT_EQ(fleet.Plan(At(20)).m_queries.size(), 1u);
+}
+
 }  // namespace
 }  // namespace wasabiwind::fleet
--- a/tests/gateway_choose_test.cpp
+++ b/tests/gateway_choose_test.cpp
@@ -129,6 +129,23 @@
   EXPECT_EQ(Choose().m_upstream, "i-1");
 }
 
+// Every second each entry host tried a crashed runner again, until control
+// found it silent after 3 s. (spillsack-core trouble-1.)
+TEST(UpstreamStatsTest, PauseGrowsWhileConnectionsAreRefused) {
+  UpstreamStats stats;
+  RecordUnreachable(&stats, At(0));
+  EXPECT_EQ(stats.m_down_until, At(1'000));
+  // Requests that were on their way together count as one failure.
+  RecordUnreachable(&stats, At(10));
+  EXPECT_EQ(stats.m_down_until, At(1'000));
+  RecordUnreachable(&stats, At(1'000));
+  EXPECT_EQ(stats.m_down_until, At(3'000));
+  RecordSuccess(&stats, base::milliseconds(10), base::milliseconds(10),
+                At(3'000));
+  RecordUnreachable(&stats, At(3'010));
+  EXPECT_EQ(stats.m_down_until, At(4'010));
+}
+
 TEST(PrefixMemoryTest, ForgetsTheLeastRecentlyUsedAtItsCapacity) {
   PrefixMemory memory;
   RequestFacts first;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -133,6 +133,13 @@
   *table.add_routes() = MakeRoute("/safe/", gen::ROUTE_IDEMPOTENT, false, 2);
   *table.add_routes() = MakeRoute("/flow/", gen::ROUTE_STREAM, true, 2);
   *table.add_routes() = MakeRoute("/once-flow/", gen::ROUTE_STREAM, false, 1);
+  gen::RoutedService *engines = table.add_services();
+  engines->set_name("engines");
+  engines->mutable_engine()->add_models()->set_name("m1");
+  gen::Route *patient = table.add_routes();
+  *patient = MakeRoute("/model/", gen::ROUTE_STREAM, true, 2);
+  patient->set_timeout_ms(15'000);
+  patient->mutable_targets(0)->set_service("engines");
   return table;
 }
 
@@ -175,6 +182,12 @@
       report->set_address(m_runners[i]->Address());
       report->set_slots(4);
     }
+    gen::UpstreamReport *engine = news->add_facts()->mutable_upstream();
+    engine->set_id("i-without-models");
+    engine->set_born_ms(5);
+    engine->set_report_number(1);
+    engine->set_service("engines");
+    engine->set_address("127.0.0.1:1");
     m_gateway.HandleMessage(kPublisher, message);
     net::SleepFor(milliseconds(150));  // fills the budget of repeats a little
   }
@@ -186,13 +199,15 @@
     for (boost::fibers::fiber &server : m_servers) server.join();
   }
 
-  void Call(const std::string &path, FakeExchange *exchange) {
+  void Call(const std::string &path, FakeExchange *exchange,
+            const std::string &patience_ms = "1200") {
     net::HttpRequest request;
     request.m_method = "POST";
     request.m_target = path + "x";
     request.m_headers.Add("Host", "a.example");
     request.m_headers.Add("X-Wasabiwind-Request-Id", "r1");
-    request.m_headers.Add("X-Wasabiwind-Deadline-Ms", "1200");
+    request.m_headers.Add("X-Wasabiwind-Deadline-Ms", patience_ms);
+    request.m_headers.Add("X-Wasabiwind-Model", "m1");
     request.m_body = "{}";
     m_gateway.HandleCaller(request, *exchange);
   }
@@ -396,6 +411,21 @@
           });
 }
 
+// Streams were held for a model until their callers left after 3.2 s without
+// an event, instead of being told when to come back. (spillsack-core
+// trouble-1.)
+TEST(GatewayRequestTest, StreamIsRefusedWhileItsCallerStillWaits) {
+  net::RunFiberThread([] {
+    Harness harness({});
+    FakeExchange exchange;
+    auto start = base::Clock::now();
+    harness.Call("/model/", &exchange, /*patience_ms=*/"15000");
+    EXPECT_LT(base::Clock::now() - start, milliseconds(1'500));
+    EXPECT_EQ(exchange.m_status, 503);
+    EXPECT_EQ(exchange.m_headers.Get("Retry-After"), "3.50");
+  });
+}
+
 TEST(GatewayRequestTest, UnknownPathIsRefusedAndStoppingHostPromisesNotRun) {
   RunWith({}, [](Harness *harness) {
     FakeExchange unknown;
--- a/tests/routes_table_test.cpp
+++ b/tests/routes_table_test.cpp
@@ -91,5 +91,14 @@
   EXPECT_FALSE(IsRepeatable(route));
 }
 
+TEST(RouteTableTest, CallersOfStreamsWaitForTheLongestOfThreePauses) {
+  gen::Route route;
+  EXPECT_EQ(GetPausePatience(route), std::chrono::milliseconds(2'000));
+  route.set_max_gap_ms(400);
+  EXPECT_EQ(GetPausePatience(route), std::chrono::milliseconds(3'200));
+  route.set_objective_ms(2'500);
+  EXPECT_EQ(GetPausePatience(route), std::chrono::milliseconds(10'000));
+}
+
 }  // namespace
 }  // namespace wasabiwind::routes
