Weigh a load by the models that must wait for it

A runner takes one order at a time.

Now the runner of a long load is one that others need least, and giving up a copy costs more where no other runner has the weights near.

--- a/src/fleet/residency_cost.cpp
+++ b/src/fleet/residency_cost.cpp
@@ -106,6 +106,12 @@
   return demand.m_rate * kHorizonSeconds * delay;
 }
 
+/** @return the waits for a model whose only near runner is loading another. */
+double GetBlockedWaitMs(const ModelDemand &demand, double load_ms) {
+  // On average, a request comes in the middle of the load.
+  return demand.m_rate * load_ms / 1000 * load_ms / 2;
+}
+
 bool IsWaitedFor(const Pass &pass, const TargetKey &key) {
   auto found = pass.m_planner->m_demands.find(key);
   return found != pass.m_planner->m_demands.end() &&
@@ -117,7 +123,7 @@
 double GetCopyGain(const Pass &pass, const TargetKey &key) {
   const ModelDemand &demand = GetDemand(pass, key);
   if (demand.m_copies == 0) {
-    return GetReturnWaitMs(pass, key, demand, CountNear(pass, key) != 0);
+    return GetReturnWaitMs(pass, key, demand, demand.m_near != 0);
   }
   return GetWaitWithCopies(pass, key, demand, demand.m_copies, nullptr) -
          GetWaitWithCopies(pass, key, demand, demand.m_copies + 1, nullptr);
@@ -125,7 +131,7 @@
 
 double GetStagingGain(const Pass &pass, const TargetKey &key) {
   const ModelDemand &demand = GetDemand(pass, key);
-  if (demand.m_rate < kStagedRate || CountNear(pass, key) >= kStagedPlaces) {
+  if (demand.m_rate < kStagedRate || demand.m_near >= kStagedPlaces) {
     return 0;
   }
   double highest = 0;
@@ -150,7 +156,7 @@
 }
 
 double GetEvictionCost(const Pass &pass, const Runner &runner,
-                       const std::string &model) {
+                       const std::string &model, double load_ms) {
   TargetKey key{runner.m_service->name(), model, ""};
   const ModelDemand &demand = GetDemand(pass, key);
   bool is_last = demand.m_copies <= 1;
@@ -158,6 +164,7 @@
   if (is_last) {
     if (IsWaitedFor(pass, key)) return std::numeric_limits<double>::infinity();
     cost = GetReturnWaitMs(pass, key, demand, /*is_near=*/true);
+    if (demand.m_near <= 1) cost += GetBlockedWaitMs(demand, load_ms);
   } else {
     double more =
         GetWaitWithCopies(pass, key, demand, demand.m_copies - 1, &runner) -
@@ -171,15 +178,29 @@
   return is_fresh && is_last ? cost + kFreshCopyMs : cost;
 }
 
+double GetBlockingCost(const Pass &pass, const Runner &runner, double load_ms) {
+  const gen::UpstreamReport &report = runner.m_entry->m_report;
+  double cost = 0;
+  for (const std::string &model : report.on_disk()) {
+    const ModelDemand &demand =
+        GetDemand(pass, {runner.m_service->name(), model, ""});
+    if (demand.m_copies == 0 && demand.m_near <= 1) {
+      cost += GetBlockedWaitMs(demand, load_ms);
+    }
+  }
+  return cost;
+}
+
 std::string ChooseVictim(const Pass &pass, const Runner &runner,
-                         const std::set<std::string> &spared, double *cost) {
+                         const std::set<std::string> &spared, double load_ms,
+                         double *cost) {
   std::string victim;
   *cost = std::numeric_limits<double>::infinity();
   for (const std::string &model : runner.m_models) {
     if (spared.contains(model) || runner.m_book->m_refused.contains(model)) {
       continue;
     }
-    double candidate = GetEvictionCost(pass, runner, model);
+    double candidate = GetEvictionCost(pass, runner, model, load_ms);
     if (candidate >= *cost) continue;
     *cost = candidate;
     victim = model;
@@ -191,11 +212,13 @@
                    const std::string &model) {
   double free_mb = GetCapacity(runner) - runner.m_used_mb;
   double weight = GetWeight(pass, runner, model);
+  double load_ms = EstimateLoadMs(pass, runner, model);
   double cost = 0;
   std::set<std::string> spared = {model};
   while (free_mb < weight) {
     double victim_cost = 0;
-    std::string victim = ChooseVictim(pass, runner, spared, &victim_cost);
+    std::string victim =
+        ChooseVictim(pass, runner, spared, load_ms, &victim_cost);
     if (victim.empty()) return std::numeric_limits<double>::infinity();
     cost += victim_cost + kEvictionMs;
     free_mb += GetWeight(pass, runner, victim);
--- a/src/fleet/residency_internal.h
+++ b/src/fleet/residency_internal.h
@@ -41,9 +41,6 @@
 
 LoadSource GetSource(const Runner &runner, const std::string &model);
 
-/** @return runners that have the weights on their disk or in memory. */
-std::size_t CountNear(const Pass &pass, const TargetKey &key);
-
 /**
  * @param limit most loads from the store that may be in progress
  * @return whether one more load from the store may begin
@@ -96,13 +93,21 @@
 double GetSharingCost(const Pass &pass, const Runner &runner,
                       const TargetKey &key);
 
-/** @return the cost of giving up a copy; infinity if requests wait for it. */
+/**
+ * @param load_ms time of the load that follows, during which the runner takes
+ *        no other order
+ * @return the cost of giving up a copy; infinity if requests wait for it
+ */
 double GetEvictionCost(const Pass &pass, const Runner &runner,
-                       const std::string &model);
+                       const std::string &model, double load_ms);
+
+/** @return the cost of a load to models that only its runner has near. */
+double GetBlockingCost(const Pass &pass, const Runner &runner, double load_ms);
 
 /** @return the model whose eviction costs least, or "". */
 std::string ChooseVictim(const Pass &pass, const Runner &runner,
-                         const std::set<std::string> &spared, double *cost);
+                         const std::set<std::string> &spared, double load_ms,
+                         double *cost);
 
 /** @return the cost of making room for a model; infinity if there is no way. */
 double GetRoomCost(const Pass &pass, const Runner &runner,
--- a/src/fleet/residency_models.cpp
+++ b/src/fleet/residency_models.cpp
@@ -24,6 +24,16 @@
 /** From this gain on, a load relieves copies that are overloaded. */
 constexpr double kUrgentGainMs = 15'000.0;
 
+/** @return what a load costs others: evictions, shared work and orders that
+ * must wait for it. */
+double GetPlacementCost(const Pass &pass, const Runner &runner,
+                        const TargetKey &key) {
+  double load_ms = EstimateLoadMs(pass, runner, key.m_model);
+  return GetRoomCost(pass, runner, key.m_model) +
+         GetSharingCost(pass, runner, key) +
+         GetBlockingCost(pass, runner, load_ms);
+}
+
 /**
  * Chooses where a model is loaded next.
  * @param requests that wait for the load
@@ -44,8 +54,7 @@
                       !MayLoadFromStore(*pass, *runner.m_service, store_limit);
     if (is_blocked) continue;
     double candidate = requests * EstimateLoadMs(*pass, runner, key.m_model) +
-                       GetRoomCost(*pass, runner, key.m_model) +
-                       GetSharingCost(*pass, runner, key);
+                       GetPlacementCost(*pass, runner, key);
     if (candidate >= *cost) continue;
     *cost = candidate;
     best = &runner;
@@ -53,13 +62,6 @@
   return best;
 }
 
-/** @return what a load costs others: evictions and shared work. */
-double GetPlacementCost(const Pass &pass, const Runner &runner,
-                        const TargetKey &key) {
-  return GetRoomCost(pass, runner, key.m_model) +
-         GetSharingCost(pass, runner, key);
-}
-
 void SetIntention(Pass *pass, Runner *runner, const TargetKey &key,
                   const char *reason, double gain) {
   runner->m_book->m_intention =
@@ -84,7 +86,7 @@
     Candidate candidate{key, GetCopyGain(pass, key), "busy", false};
     if (demand.m_copies == 0) {
       // A model on some disk comes back fast when it is asked for.
-      candidate.m_needs_free_room = CountNear(pass, key) != 0;
+      candidate.m_needs_free_room = demand.m_near != 0;
       candidate.m_reason =
           candidate.m_needs_free_room ? "no_copy" : "no_copy_on_disk";
     } else if (double staging = GetStagingGain(pass, key);
@@ -182,7 +184,9 @@
     return;
   }
   double cost = 0;
-  std::string victim = ChooseVictim(*pass, *runner, {intention.m_model}, &cost);
+  std::string victim =
+      ChooseVictim(*pass, *runner, {intention.m_model},
+                   EstimateLoadMs(*pass, *runner, intention.m_model), &cost);
   // Demand may have moved since the load was decided.
   if (victim.empty() || cost > intention.m_gain) {
     book->m_intention.reset();
--- a/src/fleet/residency_pass.cpp
+++ b/src/fleet/residency_pass.cpp
@@ -148,12 +148,20 @@
             [](const Runner &a, const Runner &b) { return a.m_id < b.m_id; });
 }
 
-/** @return whether a load is in progress or intended. */
-bool IsComing(const Runner &runner, const std::string &model) {
+/** Counts a runner for the models whose weights it has or is loading. */
+void CountNear(Pass *pass, const Runner &runner) {
+  const gen::UpstreamReport &report = runner.m_entry->m_report;
+  std::set<std::string> models(report.in_memory().begin(),
+                               report.in_memory().end());
+  models.insert(report.on_disk().begin(), report.on_disk().end());
   const RunnerBook &book = *runner.m_book;
-  bool is_loading = book.m_in_progress && book.m_in_progress->m_is_load &&
-                    book.m_in_progress->m_model == model;
-  return is_loading || (book.m_intention && book.m_intention->m_model == model);
+  if (book.m_in_progress && book.m_in_progress->m_is_load) {
+    models.insert(book.m_in_progress->m_model);
+  }
+  if (book.m_intention) models.insert(book.m_intention->m_model);
+  for (const std::string &model : models) {
+    ++pass->m_demands[{runner.m_service->name(), model, ""}].m_near;
+  }
 }
 
 }  // namespace
@@ -167,6 +175,7 @@
   }
   for (std::size_t i = 0; i < pass->m_runners.size(); ++i) {
     CountCopies(pass, i);
+    CountNear(pass, pass->m_runners[i]);
   }
   ShareDemand(pass);
 }
@@ -196,16 +205,6 @@
   return LoadSource::kStore;
 }
 
-std::size_t CountNear(const Pass &pass, const TargetKey &key) {
-  return static_cast<std::size_t>(std::count_if(
-      pass.m_runners.begin(), pass.m_runners.end(),
-      [&key](const Runner &runner) {
-        return runner.m_service->name() == key.m_service &&
-               (GetSource(runner, key.m_model) != LoadSource::kStore ||
-                IsComing(runner, key.m_model));
-      }));
-}
-
 bool MayLoadFromStore(const Pass &pass, const gen::RoutedService &service,
                       std::size_t limit) {
   ResidencyPlanner *planner = pass.m_planner;
--- a/src/fleet/residency_pass_type.h
+++ b/src/fleet/residency_pass_type.h
@@ -30,9 +30,10 @@
 
 /** Demand for a model and the copies that bear it. */
 struct ModelDemand {
-  double m_rate = 0;           ///< requests a second
-  int m_copies = 0;            ///< that serve, are being loaded or are intended
-  std::size_t m_adapters = 0;  ///< that are asked for again and again
+  double m_rate = 0;       ///< requests a second
+  int m_copies = 0;        ///< that serve, are being loaded or are intended
+  std::size_t m_near = 0;  ///< runners with the weights on disk or in memory
+  std::size_t m_adapters = 0;          ///< that are asked for again and again
   std::vector<std::size_t> m_serving;  ///< positions in Pass::m_runners
 };
 
--- a/tests/fleet_residency_test.cpp
+++ b/tests/fleet_residency_test.cpp
@@ -244,5 +244,20 @@
   EXPECT_EQ(fleet.Plan(At(20)).m_queries.size(), 1u);
 }
 
+// A load from the store kept the only runner with another model on its disk
+// busy for 6 s, while requests waited for that model. (spillsack-core
+// trouble-3.)
+TEST(ResidencyTest, LongLoadSparesARunnerThatAloneHasAnotherModel) {
+  PlannerFixture fleet(4);
+  gen::Fact alone = MakeRunner("i-1", 1, {"m0"});
+  alone.mutable_upstream()->add_on_disk("m2");
+  fleet.Report(alone, At(0));
+  fleet.Report(MakeRunner("i-2", 1, {"m1"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m3", "", 1), At(10));
+  ResidencyActions actions = fleet.Plan(At(20));
+  ASSERT_EQ(actions.m_queries.size(), 1u);
+  EXPECT_EQ(actions.m_queries[0], "i-2");
+}
+
 }  // namespace
 }  // namespace wasabiwind::fleet
