Take out staging of weights and load fewer models ahead at once

Cause: early loads of busy models took runners and the store from loads that requests with most worth waited for.

--- a/src/fleet/residency_cost.cpp
+++ b/src/fleet/residency_cost.cpp
@@ -14,9 +14,9 @@
 /** Milliseconds that a request loses when its model must return from disk. */
 constexpr double kReturnDelayMs = 300.0;
 /** Requests a second at which a runner's queue begins to grow. */
-constexpr double kRunnerRate = 9.0;
+constexpr double kRunnerRate = 11.0;
 /** Work of one request at a runner, in milliseconds. */
-constexpr double kRequestMs = 120.0;
+constexpr double kRequestMs = 100.0;
 /** Share of the rate above which the queue grows within the horizon. */
 constexpr double kFullShare = 0.9;
 /** Milliseconds that a request waits for an adapter without a slot. */
@@ -24,11 +24,6 @@
 /** Keeps a model that has just come from being evicted again. */
 constexpr base::milliseconds kFreshCopy{3'000};
 constexpr double kFreshCopyMs = 5'000.0;
-/** A model with so many requests a second may soon be the busiest. */
-constexpr double kStagedRate = 0.8;
-constexpr double kRiseChance = 0.2;
-/** Runners that shall be able to load such a model without the store. */
-constexpr std::size_t kStagedPlaces = 2;
 /** Time that an eviction adds before a load can begin. */
 constexpr double kEvictionMs = 200.0;
 /** An unload waits for the runs of its model. */
@@ -129,22 +124,6 @@
          GetWaitWithCopies(pass, key, demand, demand.m_copies + 1, nullptr);
 }
 
-double GetStagingGain(const Pass &pass, const TargetKey &key) {
-  const ModelDemand &demand = GetDemand(pass, key);
-  if (demand.m_rate < kStagedRate || demand.m_near >= kStagedPlaces) {
-    return 0;
-  }
-  double highest = 0;
-  for (const auto &[other, known] : pass.m_demands) {
-    if (other.m_service == key.m_service) {
-      highest = std::max(highest, known.m_rate);
-    }
-  }
-  double with_one = GetTotalWaitMs(highest, highest);
-  double with_two = GetTotalWaitMs(highest, highest / 2);
-  return kRiseChance * (with_one - with_two);
-}
-
 double GetSharingCost(const Pass &pass, const Runner &runner,
                       const TargetKey &key) {
   const ModelDemand &demand = GetDemand(pass, key);
--- a/src/fleet/residency_internal.h
+++ b/src/fleet/residency_internal.h
@@ -81,14 +81,6 @@
 /** @return the gain from a first or further copy on a runner without work. */
 double GetCopyGain(const Pass &pass, const TargetKey &key);
 
-/**
- * A load from the store takes longer than demand needs to move to another
- * model.
- * @return the gain from weights at a further runner, should the model become
- *         the busiest
- */
-double GetStagingGain(const Pass &pass, const TargetKey &key);
-
 /** @return the cost of a further model to those that its runner serves. */
 double GetSharingCost(const Pass &pass, const Runner &runner,
                       const TargetKey &key);
--- a/src/fleet/residency_models.cpp
+++ b/src/fleet/residency_models.cpp
@@ -89,10 +89,6 @@
       candidate.m_needs_free_room = demand.m_near != 0;
       candidate.m_reason =
           candidate.m_needs_free_room ? "no_copy" : "no_copy_on_disk";
-    } else if (double staging = GetStagingGain(pass, key);
-               staging > candidate.m_gain) {
-      candidate.m_gain = staging;
-      candidate.m_reason = "staged";
     }
     bool is_useful = demand.m_copies == 0 || candidate.m_gain >= kLeastGainMs;
     if (is_useful) candidates.push_back(std::move(candidate));
--- a/src/fleet/residency_type.h
+++ b/src/fleet/residency_type.h
@@ -105,8 +105,8 @@
 struct ResidencySettings {
   base::milliseconds m_load_window{5'000};  ///< over which loads are counted
   std::size_t m_store_loads = 4;            ///< at once, for waiting requests
-  std::size_t m_urgent_loads = 3;           ///< at once, for overloaded copies
-  std::size_t m_background_loads = 2;       ///< at once, ahead of requests
+  std::size_t m_urgent_loads = 2;           ///< at once, for overloaded copies
+  std::size_t m_background_loads = 1;       ///< at once, ahead of requests
   double m_requests_per_copy = 3.0;         ///< a second, that one copy bears
 };
 
