Use one type for the outcome of an order and one test of reports; describe placement

fleet_control::OrderAnswer repeated fleet::OrderOutcome, and two files had their own test of whether a report names a target.

--- a/src/fleet/residency.cpp
+++ b/src/fleet/residency.cpp
@@ -53,20 +53,6 @@
   demand->m_recent_rate += arrivals / kRecentRateSeconds;
 }
 
-bool ReportsTarget(const gen::UpstreamReport &report,
-                   const std::string &target) {
-  std::size_t slash = target.find('/');
-  std::string model = target.substr(0, slash);
-  for (const gen::ResidentModel &held : report.models()) {
-    if (held.name() != model) continue;
-    if (slash == std::string::npos) return true;
-    std::string adapter = target.substr(slash + 1);
-    return std::find(held.adapters().begin(), held.adapters().end(), adapter) !=
-           held.adapters().end();
-  }
-  return false;
-}
-
 /** Drops loads that the runner's report shows. */
 void DropReportedLoads(UnreportedChanges *loads,
                        const gen::UpstreamReport &report) {
@@ -114,19 +100,12 @@
   });
 }
 
-bool ReportsModel(const gen::UpstreamReport &report, const std::string &model) {
-  return std::any_of(report.models().begin(), report.models().end(),
-                     [&model](const gen::ResidentModel &held) {
-                       return held.name() == model;
-                     });
-}
-
 /** Ends the order in progress if a report shows its effect. */
 void FinishByReport(RunnerBook *book, const gen::UpstreamReport &report,
                     base::TimePoint now) {
   if (!book->m_in_progress || book->m_in_progress->m_model.empty()) return;
   const OrderInProgress &order = *book->m_in_progress;
-  bool is_held = ReportsModel(report, order.m_model);
+  bool is_held = ReportsTarget(report, order.m_model);
   if (is_held != order.m_is_load) return;
   if (order.m_is_load) book->m_used[order.m_model] = now;
   book->m_in_progress.reset();
@@ -303,6 +282,7 @@
             MakeChange(book, now);
       }
       break;
+    case OrderOutcome::kStaleFence:
     case OrderOutcome::kRefused:
       book.m_refused[MakeTarget(order.m_model, order.m_adapter)] = now;
       book.m_intention.reset();
--- a/src/fleet/residency_func.h
+++ b/src/fleet/residency_func.h
@@ -36,12 +36,13 @@
 
 /** How a runner answered an order. */
 enum class OrderOutcome : std::uint8_t {
-  kStarted,
-  kAlreadyHolds,
-  kConflict,
-  kRefused,
-  kOtherRunner,
-  kUnknown,
+  kStarted,       ///< accepted, is being carried out
+  kAlreadyHolds,  ///< nothing to do
+  kConflict,      ///< busy, or another number of orders was accepted
+  kStaleFence,    ///< the runner has seen a later term
+  kRefused,       ///< the order can't be carried out
+  kOtherRunner,   ///< the address belongs to another runner now
+  kUnknown,       ///< no answer that can be read; it may be carried out yet
   kEnd,
 };
 
--- a/src/fleet/residency_pass.cpp
+++ b/src/fleet/residency_pass.cpp
@@ -24,11 +24,6 @@
 /** Added to the load window, for orders that travel at different speeds. */
 constexpr base::milliseconds kLoadWindowMargin{1'000};
 
-bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
-              const std::string &item) {
-  return std::find(list.begin(), list.end(), item) != list.end();
-}
-
 void CollectHeld(const Pass &pass, Runner *runner) {
   const RunnerBook &book = *runner->m_book;
   std::set<std::string> reserved;
--- a/src/fleet/view.cpp
+++ b/src/fleet/view.cpp
@@ -102,20 +102,6 @@
   return ViewChange{true, ""};
 }
 
-bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
-              const std::string &item) {
-  return std::find(list.begin(), list.end(), item) != list.end();
-}
-
-bool ReportsTarget(const gen::UpstreamReport &report, const std::string &model,
-                   const std::string &adapter) {
-  for (const gen::ResidentModel &held : report.models()) {
-    if (held.name() != model) continue;
-    return adapter.empty() || Contains(held.adapters(), adapter);
-  }
-  return false;
-}
-
 bool IsResidencyValid(const UpstreamEntry &entry, base::TimePoint now) {
   return entry.m_residency.term() != 0 &&
          now < entry.m_residency_at + kResidencyLifetime;
@@ -192,6 +178,23 @@
   return adapter.empty() ? model : model + "/" + adapter;
 }
 
+bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
+              const std::string &item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+bool ReportsTarget(const gen::UpstreamReport &report,
+                   const std::string &target) {
+  std::size_t slash = target.find('/');
+  std::string model = target.substr(0, slash);
+  for (const gen::ResidentModel &held : report.models()) {
+    if (held.name() != model) continue;
+    return slash == std::string::npos ||
+           Contains(held.adapters(), target.substr(slash + 1));
+  }
+  return false;
+}
+
 bool HasTarget(const UpstreamEntry &entry, const std::string &model,
                const std::string &adapter, base::TimePoint now) {
   std::string target = MakeTarget(model, adapter);
@@ -201,7 +204,7 @@
     if (Contains(residency.unloaded(), target)) return false;
     if (Contains(residency.loaded(), target)) return true;
   }
-  return ReportsTarget(entry.m_report, model, adapter);
+  return ReportsTarget(entry.m_report, target);
 }
 
 void ForgetUpstreams(FleetView *view, base::TimePoint now) {
--- a/src/fleet/view_func.h
+++ b/src/fleet/view_func.h
@@ -90,6 +90,13 @@
 /** @return "MODEL", or "MODEL/ADAPTER" if an adapter is named. */
 std::string MakeTarget(const std::string &model, const std::string &adapter);
 
+bool Contains(const google::protobuf::RepeatedPtrField<std::string> &list,
+              const std::string &item);
+
+/** @return whether a report names a target as held. */
+bool ReportsTarget(const gen::UpstreamReport &report,
+                   const std::string &target);
+
 /** @return whether a runner holds a model, and the adapter if one is named. */
 bool HasTarget(const UpstreamEntry &entry, const std::string &model,
                const std::string &adapter, base::TimePoint now);
--- a/src/fleet_control/placer.cpp
+++ b/src/fleet_control/placer.cpp
@@ -26,6 +26,8 @@
       return "already_holds";
     case OrderOutcome::kConflict:
       return "conflict";
+    case OrderOutcome::kStaleFence:
+      return "stale_fence";
     case OrderOutcome::kRefused:
       return "refused";
     case OrderOutcome::kOtherRunner:
@@ -37,26 +39,6 @@
   return "unknown";
 }
 
-OrderOutcome ToOutcome(OrderAnswer answer) {
-  switch (answer) {
-    case OrderAnswer::kStarted:
-      return OrderOutcome::kStarted;
-    case OrderAnswer::kAlreadyHolds:
-      return OrderOutcome::kAlreadyHolds;
-    case OrderAnswer::kConflict:
-      return OrderOutcome::kConflict;
-    case OrderAnswer::kOtherRunner:
-      return OrderOutcome::kOtherRunner;
-    case OrderAnswer::kStaleFence:
-    case OrderAnswer::kRefused:
-      return OrderOutcome::kRefused;
-    case OrderAnswer::kUnknown:
-    case OrderAnswer::kEnd:
-      break;
-  }
-  return OrderOutcome::kUnknown;
-}
-
 std::vector<std::string> ListTargets(const RunnerStatus &status) {
   std::vector<std::string> targets(status.m_pending_adapters.begin(),
                                    status.m_pending_adapters.end());
@@ -129,7 +111,7 @@
         {{"upstream", order.m_upstream}, {"error", answer.error().ToString()}});
     return OrderOutcome::kUnknown;
   }
-  return ToOutcome(m_protocol->m_decode_order_answer(*answer));
+  return m_protocol->m_decode_order_answer(*answer);
 }
 
 void Placer::SendOrder(const fleet::PlannedOrder &order) {
--- a/src/fleet_control/protocol_type.h
+++ b/src/fleet_control/protocol_type.h
@@ -13,6 +13,7 @@
 #include <variant>
 
 #include "base/error_type.h"
+#include "fleet/residency_func.h"
 #include "net/http_type.h"
 
 namespace wasabiwind::fleet_control {
@@ -43,17 +44,6 @@
   std::uint64_t m_fence = 0;     ///< term of that host's leadership
 };
 
-enum class OrderAnswer : std::uint8_t {
-  kStarted,       ///< accepted, is being carried out
-  kAlreadyHolds,  ///< nothing to do
-  kConflict,      ///< busy, or another number of orders was accepted
-  kStaleFence,
-  kOtherRunner,  ///< the address belongs to another runner now
-  kRefused,      ///< the order can't be carried out
-  kUnknown,      ///< no answer that can be read; it may be carried out yet
-  kEnd,
-};
-
 /** State that a runner tells when asked. */
 struct RunnerStatus {
   std::uint64_t m_born_ms = 0;
@@ -72,7 +62,8 @@
   std::function<net::HttpResponse(const std::string &next_address)>
       m_encode_report_answer;
   std::function<net::HttpRequest(const RunnerOrder &)> m_encode_order;
-  std::function<OrderAnswer(const net::HttpResponse &)> m_decode_order_answer;
+  std::function<fleet::OrderOutcome(const net::HttpResponse &)>
+      m_decode_order_answer;
   std::function<net::HttpRequest(const std::string &upstream)>
       m_encode_status_query;
   std::function<base::Result<RunnerStatus>(const net::HttpResponse &)>
