Give the control hosts of the process test ports and addresses of their own

The cause is in the test: it took nine ports from the kernel, one after the other, each closed before the next. In a run that failed again under load, host a's port for operators and host b's admin port were the same number (34059), so nobody accepted changes for 20 s. The hosts led and followed all the while, which rules out the log, elections and the transport.

Hosts now share a loopback address that belongs to the test's process, with fixed ports below those that the kernel hands out. The test prints what each host says of itself when a change isn't accepted.

A second failure, 2 of 99 runs under load: hosts were counted that name the leader 2 ms after a partition had healed. The healed host knew no leader until the next heartbeat and truthfully refused (its log: leader known 7 ms later). The check waits for up to a second now and still wants both others to redirect.

--- a/tests/control_process_test.cpp
+++ b/tests/control_process_test.cpp
@@ -19,6 +19,7 @@
 #include "net/fiber_scheduler.h"
 #include "net/http_client.h"
 #include "operators/protocol_func.h"
+#include "scenario/runner_base.h"
 
 extern char **environ;
 
@@ -31,23 +32,22 @@
 using base::seconds;
 
 constexpr int kHosts = 3;
+/** A host that is reachable again must know the leader within this. */
+constexpr base::milliseconds kRejoinTime{1'000};
 constexpr const char *kToken = "token-of-tests";
 
-/** @return a port that no program listens on now. */
-std::uint16_t FindFreePort() {
-  int descriptor = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address = {};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  bind(descriptor, reinterpret_cast<sockaddr *>(&address), size);
-  getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
-  close(descriptor);
-  return ntohs(address.sin_port);
-}
+/**
+ * Ports of the first host; each further one has the next three. They lie below
+ * the range from which the kernel picks, and the address belongs to this
+ * process alone. Ports that the kernel picked were seen twice in one group,
+ * and a killed host's port could go to another program before its restart.
+ */
+constexpr std::uint16_t kFirstPort = 18'200;
+constexpr std::uint16_t kPortsPerHost = 3;
 
 struct ControlHost {
   std::string m_name;
+  std::string m_address;
   std::uint16_t m_message_port = 0;
   std::uint16_t m_operators_port = 0;
   std::uint16_t m_admin_port = 0;
@@ -55,8 +55,9 @@
   pid_t m_process = -1;
 
   std::string DataFolder() const { return m_folder / (m_name + ".data"); }
-  net::Endpoint Operators() const { return {"127.0.0.1", m_operators_port}; }
-  net::Endpoint Admin() const { return {"127.0.0.1", m_admin_port}; }
+  net::Endpoint Messages() const { return {m_address, m_message_port}; }
+  net::Endpoint Operators() const { return {m_address, m_operators_port}; }
+  net::Endpoint Admin() const { return {m_address, m_admin_port}; }
 };
 
 struct Answer {
@@ -72,10 +73,14 @@
     ASSERT_NE(mkdtemp(pattern.data()), nullptr);
     m_folder = pattern;
     std::ofstream(m_folder / "tokens") << kToken << "\n";
-    for (int i = 0; i < kHosts; ++i) {
-      m_hosts.push_back(ControlHost{std::string(1, static_cast<char>('a' + i)),
-                                    FindFreePort(), FindFreePort(),
-                                    FindFreePort(), m_folder});
+    std::string address =
+        scenario::MakeLoopbackHost(static_cast<std::uint32_t>(getpid()));
+    std::uint16_t port = kFirstPort;
+    for (int i = 0; i < kHosts; ++i, port += kPortsPerHost) {
+      m_hosts.push_back(
+          ControlHost{std::string(1, static_cast<char>('a' + i)), address, port,
+                      static_cast<std::uint16_t>(port + 1),
+                      static_cast<std::uint16_t>(port + 2), m_folder});
     }
     for (ControlHost &host : m_hosts) {
       WriteSettings(host);
@@ -100,7 +105,7 @@
          << "\n[testing]\nallow_partition = true\n";
     for (const ControlHost &other : m_hosts) {
       file << "[control " << other.m_name
-           << "]\nendpoint = 127.0.0.1:" << other.m_message_port
+           << "]\nendpoint = " << other.Messages().ToString()
            << "\noperators = " << other.Operators().ToString() << "\n";
     }
   }
@@ -172,18 +177,44 @@
   /** Applies with resends at any host until accepted. */
   bool Apply(net::HttpClientPool *pool, const std::string &operation_id) {
     base::TimePoint deadline = Clock::now() + seconds(20);
+    Answer last;
     while (Clock::now() < deadline) {
       for (ControlHost &host : m_hosts) {
         if (host.m_process <= 0) continue;
         Answer answer = Call(pool, host.Operators(), "POST", "/ops/v1/apply",
                              MakeBody(operation_id));
         if (answer.m_status == 200) return true;
+        last = answer;
       }
       net::SleepFor(milliseconds(2));
     }
+    std::printf("not accepted: %s, last answer %d %s\n", operation_id.c_str(),
+                last.m_status, last.m_body.c_str());
+    PrintHosts(pool);
     return false;
   }
 
+  /** @return the hosts that name another one to operators. */
+  int CountRedirects(net::HttpClientPool *pool) const {
+    int redirects = 0;
+    for (const ControlHost &host : m_hosts) {
+      Answer answer = Call(pool, host.Operators(), "GET", "/ops/v1/config");
+      redirects += answer.m_status == 307 && !answer.m_location.empty() ? 1 : 0;
+    }
+    return redirects;
+  }
+
+  /** Prints what each host says of its replica and its messages. */
+  void PrintHosts(net::HttpClientPool *pool) {
+    for (ControlHost &host : m_hosts) {
+      for (const char *path : {"/admin/v1/replica", "/metrics"}) {
+        Answer answer = Call(pool, host.Admin(), "GET", path);
+        std::printf("host %s %s: %d %s\n", host.m_name.c_str(), path,
+                    answer.m_status, answer.m_body.c_str());
+      }
+    }
+  }
+
   /** @return the accepted operation IDs, in order, as the leader prints. */
   std::vector<std::string> ReadList(net::HttpClientPool *pool) {
     std::vector<std::string> list;
@@ -332,10 +363,12 @@
     ASSERT_TRUE(Apply(&pool, "three"));
     std::vector<std::string> list = ReadList(&pool);
     ExpectAllOnce({"one", "two", "three"}, list);
+    // The healed host knows the leader from the next heartbeat on; until then
+    // it refuses, because it can't name one.
+    base::TimePoint deadline = Clock::now() + kRejoinTime;
     int redirects = 0;
-    for (const ControlHost &host : m_hosts) {
-      Answer answer = Call(&pool, host.Operators(), "GET", "/ops/v1/config");
-      redirects += answer.m_status == 307 && !answer.m_location.empty() ? 1 : 0;
+    while (redirects != kHosts - 1 && Clock::now() < deadline) {
+      redirects = CountRedirects(&pool);
     }
     EXPECT_EQ(redirects, kHosts - 1);
   });
