Share the load of runners between entry hosts; take tables from near control hosts

Each runner now has a book at one entry host of its region (rendezvous hash). Hosts tell it by datagram of requests that they send there, and ask the books of up to four copies before they choose; without an answer within 10 ms (32 ms for other regions) they choose as before. It is advice: no rule depends on it, and it needs neither a connection nor a hop for each pair of hosts.

Ruled out before: the sum of all hosts' work at each runner, published every 500 ms (all hosts moved at once, no gain). ZeroMQ for it: its heartbeats on 77 x 25 connections alone would cost more than the messages.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -33,6 +33,46 @@
   });
 }
 
+/** @return whether a publisher stands in a near failure domain. */
+bool IsNear(const Follower &follower, const std::string &publisher) {
+  for (const auto &[name, control] : follower.m_view.m_controls) {
+    if (control.endpoint() != publisher) continue;
+    return follower.m_near_domains.contains(control.domain());
+  }
+  return false;
+}
+
+bool HasNearPublisher(const Follower &follower, base::TimePoint now) {
+  for (const auto &[name, control] : follower.m_view.m_controls) {
+    if (!follower.m_near_domains.contains(control.domain())) continue;
+    auto found = follower.m_view.m_publishers.find(control.endpoint());
+    bool is_heard = found != follower.m_view.m_publishers.end() &&
+                    now < found->second.m_heard_at + 2 * kFollowPeriod;
+    if (is_heard) return true;
+  }
+  return false;
+}
+
+/**
+ * Decides whether to ask a publisher for the table that it announces. Tables
+ * are large and bytes between regions are priced, so near publishers are
+ * waited for. A host without any table asks the first one.
+ */
+bool WantsRoutes(Follower *follower, const std::string &publisher,
+                 std::uint64_t announced, base::TimePoint now) {
+  if (announced <= follower->m_routes_version) return false;
+  if (announced > follower->m_announced_version) {
+    follower->m_announced_version = announced;
+    follower->m_announced_at = now;
+  }
+  if (now < follower->m_routes_asked_at + kRoutesRetry) return false;
+  bool must_wait = follower->m_routes_version != 0 &&
+                   now < follower->m_announced_at + kNearRoutesWait &&
+                   !IsNear(*follower, publisher) &&
+                   HasNearPublisher(*follower, now);
+  return !must_wait;
+}
+
 }  // namespace
 
 std::set<std::string> ListPublishers(const Follower &follower) {
@@ -78,8 +118,7 @@
     follower->m_routes_version = news.routes().version();
     result.m_routes = news.routes();
   }
-  bool wants_routes = news.routes_version() > follower->m_routes_version &&
-                      now >= follower->m_routes_asked_at + kRoutesRetry;
+  bool wants_routes = WantsRoutes(follower, from, news.routes_version(), now);
   if (wants_routes) follower->m_routes_asked_at = now;
   bool must_answer = news.facts_size() != 0 || outcome.m_is_new_epoch ||
                      !outcome.m_is_complete || wants_routes;
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -21,8 +21,12 @@
   std::uint64_t m_routes_version = 0;
   /** Control hosts that the settings name, as message endpoints. */
   std::set<std::string> m_seeds;
+  /** Failure domains whose control hosts are asked for tables first. */
+  std::set<std::string> m_near_domains;
   std::map<std::string, base::TimePoint> m_asked_at;  ///< by publisher
   base::TimePoint m_routes_asked_at;
+  std::uint64_t m_announced_version = 0;  ///< highest one of a table
+  base::TimePoint m_announced_at;
 };
 
 /** A message and the endpoint that it goes to. */
@@ -37,6 +41,8 @@
 inline constexpr base::milliseconds kForgetPublisher{30'000};
 /** Time after which another publisher is asked for the table. */
 inline constexpr base::milliseconds kRoutesRetry{300};
+/** Time that near publishers get to announce a table that others have. */
+inline constexpr base::milliseconds kNearRoutesWait{400};
 
 /** @return the endpoints to follow: seeds and control hosts that are known. */
 std::set<std::string> ListPublishers(const Follower &follower);
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -161,8 +161,10 @@
 }
 
 base::Result<void> FleetControl::Start() {
-  base::Result<net::Endpoint> messages =
-      net::ParseEndpoint(m_settings.network().message_address());
+  const gen::FleetNetworkSettings &network = m_settings.network();
+  base::Result<net::Endpoint> messages = net::ParseEndpoint(
+      network.message_listen().empty() ? network.message_address()
+                                       : network.message_listen());
   if (!messages) return tl::unexpected(messages.error());
   net::MessageTransportOptions transport;
   transport.m_listen = *messages;
@@ -281,6 +283,10 @@
     case gen::FleetMessage::kJoin:
       m_group->HandleJoin(message.join(), now);
       return;
+    case gen::FleetMessage::kLoadQuery:
+    case gen::FleetMessage::kLoadAnswer:
+    case gen::FleetMessage::kLoadUpdate:
+      // Between entry hosts only.
     case gen::FleetMessage::BODY_NOT_SET:
       return;
   }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -62,13 +62,17 @@
 /** Counts an attempt at its upstream while it lasts. */
 void Gateway::RunAttempt(RequestScope *scope, const Choice &choice) {
   scope->m_upstream = choice.m_upstream;
+  scope->m_expected = choice.m_expected;
+  scope->m_unread_tokens = choice.m_unread_tokens;
   scope->m_sent_at = base::Clock::now();
   scope->m_cutter = EventCutter();
   UpstreamStats &before = m_stats[choice.m_upstream];
   ++before.m_in_flight;
   before.m_unread_tokens += choice.m_unread_tokens;
+  TellBook(*scope, gen::LOAD_SENT);
   SendAndRelay(scope, choice);
   scope->m_call = nullptr;
+  TellBook(*scope, gen::LOAD_OVER);
   UpstreamStats &after = m_stats[choice.m_upstream];
   after.m_in_flight = std::max(0, after.m_in_flight - 1);
   after.m_unread_tokens -=
@@ -95,7 +99,9 @@
   facts.m_remaining =
       std::chrono::duration_cast<base::milliseconds>(GetRemaining(*scope, now));
   facts.m_upstream = choice.m_upstream;
-  if (scope->m_service->has_engine()) facts.m_rank = scope->m_route->rank();
+  if (scope->m_service->has_engine()) {
+    facts.m_urgency = routes::GetUrgency(*scope->m_route);
+  }
   facts.m_last_event = scope->m_last_event
                            ? std::to_string(*scope->m_last_event)
                            : scope->m_facts.m_last_event;
@@ -265,8 +271,14 @@
       return;
     }
     if (!*more) break;
+    if (scope->m_last_at != base::TimePoint()) {
+      scope->m_longest_gap =
+          std::max(scope->m_longest_gap, now - scope->m_last_at);
+    }
+    scope->m_last_at = now;
     if (is_first) {
       is_first = false;
+      TellBook(*scope, gen::LOAD_READ);
       if (scope->m_first_at == base::TimePoint()) scope->m_first_at = now;
       UpstreamStats &stats = m_stats[choice.m_upstream];
       RecordSuccess(&stats, now - scope->m_sent_at, choice.m_expected, now);
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -28,18 +28,10 @@
 constexpr double kFailureMs = 400.0;
 constexpr double kSilentMs = 5'000.0;
 
-struct Candidate {
-  const fleet::UpstreamEntry *m_entry = nullptr;
-  UpstreamStats *m_stats = nullptr;
-};
-
 /** @return a number in [0, 1) that all entry hosts agree on. */
 double GetAffinity(const ChoiceRequest &request, const std::string &upstream) {
-  // All parts but the last are shared with other requests.
   const std::vector<std::uint64_t> &keys = request.m_chain_keys;
-  std::uint64_t seed = keys.empty()       ? request.m_draw
-                       : keys.size() == 1 ? keys.front()
-                                          : keys[keys.size() - 2];
+  std::uint64_t seed = keys.empty() ? request.m_draw : GetSharedPrompt(keys);
   std::uint64_t hash =
       XXH3_64bits_withSeed(upstream.data(), upstream.size(), seed);
   return static_cast<double>(hash >> 11) * 0x1.0p-53;
@@ -66,16 +58,56 @@
   return &item;
 }
 
-double GetWorkMs(const ChoiceRequest &request, const Candidate &candidate,
+/**
+ * @param queued tokens of other prompts that the runner must read
+ * @param in_flight requests that it has
+ */
+double GetEngineWorkMs(std::uint32_t unread, std::uint64_t queued,
+                       double in_flight) {
+  return kFirstEventMs + unread / kTokensPerMs +
+         static_cast<double>(queued) / kTokensPerMs + kInFlightMs * in_flight;
+}
+
+double GetWorkMs(const ChoiceRequest &request,
+                 const gen::UpstreamReport &report, const UpstreamStats &stats,
                  std::uint32_t unread) {
-  const UpstreamStats &stats = *candidate.m_stats;
   if (!request.m_service->has_engine()) {
-    double slots = std::max(1u, candidate.m_entry->m_report.slots());
+    double slots = std::max(1u, report.slots());
     return kPlainWorkMs * (1 + stats.m_in_flight / slots);
   }
-  double queued = static_cast<double>(stats.m_unread_tokens) / kTokensPerMs;
-  return kFirstEventMs + unread / kTokensPerMs + queued +
-         kInFlightMs * stats.m_in_flight;
+  return GetEngineWorkMs(unread, stats.m_unread_tokens, stats.m_in_flight);
+}
+
+std::uint32_t GetUnread(const RequestFacts &facts, std::uint32_t kept) {
+  return facts.m_prompt_tokens > kept ? facts.m_prompt_tokens - kept : 0;
+}
+
+Candidate MakeCandidate(const fleet::FleetView &view,
+                        const fleet::UpstreamEntry &entry,
+                        const UpstreamStats &known, const Location &location,
+                        const ChoiceRequest &request, base::TimePoint now) {
+  const gen::UpstreamReport &report = entry.m_report;
+  Candidate candidate;
+  candidate.m_upstream = report.id();
+  candidate.m_address = report.address();
+  candidate.m_domain = report.domain();
+  candidate.m_born_ms = report.born_ms();
+  candidate.m_unread_tokens = GetUnread(
+      *request.m_facts, CountKeptTokens(known.m_prefixes, *request.m_facts,
+                                        request.m_chain_keys));
+  candidate.m_work_ms =
+      GetWorkMs(request, report, known, candidate.m_unread_tokens);
+  candidate.m_slowness = known.m_slowness;
+  candidate.m_way_ms = GetWayMs(location, report.domain());
+  candidate.m_trip_ms = candidate.m_way_ms >= kOtherRegionMs
+                            ? kOtherRegionTripMs
+                            : candidate.m_way_ms;
+  candidate.m_is_silent = fleet::IsSilent(view, entry.m_silence, now);
+  candidate.m_doubt_ms = kFailureMs * known.m_failures +
+                         kAffinityMs * GetAffinity(request, report.id()) +
+                         report.cold_left_ms() / 100.0 +
+                         (candidate.m_is_silent ? kSilentMs : 0);
+  return candidate;
 }
 
 }  // namespace
@@ -100,70 +132,88 @@
   return "unknown";
 }
 
-Choice ChooseUpstream(const fleet::FleetView &view, StatsById *stats,
-                      const Location &location, const ChoiceRequest &request,
-                      base::TimePoint now) {
+double GetScore(const Candidate &candidate) {
+  return candidate.m_work_ms * candidate.m_slowness + candidate.m_way_ms +
+         candidate.m_doubt_ms;
+}
+
+Candidates ListCandidates(const fleet::FleetView &view, StatsById *stats,
+                          const Location &location,
+                          const ChoiceRequest &request, base::TimePoint now) {
   const RequestFacts &facts = *request.m_facts;
   bool needs_model = request.m_service->has_engine() && !facts.m_model.empty();
-  Choice choice;
-  choice.m_problem = ChoiceProblem::kNoUpstream;
-  double best = std::numeric_limits<double>::infinity();
+  Candidates candidates;
+  auto note = [&candidates](ChoiceProblem problem) {
+    candidates.m_problem = std::max(candidates.m_problem, problem);
+  };
   for (const auto &[id, entry] : view.m_upstreams) {
     const gen::UpstreamReport &report = entry.m_report;
     if (report.service() != request.m_service->name()) continue;
     if (!fleet::IsServing(view, entry)) continue;
     if (needs_model && !fleet::HasTarget(entry, facts.m_model, "", now)) {
-      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kNoModel);
+      note(ChoiceProblem::kNoModel);
       continue;
     }
     if (needs_model && !facts.m_adapter.empty() &&
         !fleet::HasTarget(entry, facts.m_model, facts.m_adapter, now)) {
-      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kNoAdapter);
+      note(ChoiceProblem::kNoAdapter);
       continue;
     }
     if (request.m_excluded.contains(id)) {
-      choice.m_problem =
-          std::max(choice.m_problem, ChoiceProblem::kAllExcluded);
+      note(ChoiceProblem::kAllExcluded);
       continue;
     }
-    Candidate candidate{&entry, FindStats(stats, report, now)};
-    const UpstreamStats &known = *candidate.m_stats;
+    const UpstreamStats &known = *FindStats(stats, report, now);
     if (needs_model && IsModelRefused(known, facts.m_model, now)) {
-      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kNoModel);
+      note(ChoiceProblem::kNoModel);
       continue;
     }
     if (now < known.m_down_until) {
-      choice.m_problem = std::max(choice.m_problem, ChoiceProblem::kDown);
+      note(ChoiceProblem::kDown);
       continue;
     }
-    std::uint32_t kept =
-        CountKeptTokens(known.m_prefixes, facts, request.m_chain_keys);
-    std::uint32_t unread =
-        facts.m_prompt_tokens > kept ? facts.m_prompt_tokens - kept : 0;
-    double work = GetWorkMs(request, candidate, unread) * known.m_slowness;
-    double way = GetWayMs(location, report.domain());
-    bool is_silent = fleet::IsSilent(view, entry.m_silence, now);
-    double score = work + way + kFailureMs * known.m_failures +
-                   kAffinityMs * GetAffinity(request, id) +
-                   report.cold_left_ms() / 100.0;
-    if (is_silent) score += kSilentMs;
+    candidates.m_list.push_back(
+        MakeCandidate(view, entry, known, location, request, now));
+  }
+  // The model must come from elsewhere if those that hold it are down.
+  if (candidates.m_problem == ChoiceProblem::kDown && needs_model) {
+    candidates.m_problem = ChoiceProblem::kNoModel;
+  }
+  return candidates;
+}
 
+void ApplyLoad(const ChoiceRequest &request, const gen::LoadAnswer &load,
+               Candidate *candidate) {
+  std::uint32_t unread = GetUnread(*request.m_facts, load.kept_tokens());
+  // This host may know of a prompt that went there before the book began.
+  candidate->m_unread_tokens = std::min(candidate->m_unread_tokens, unread);
+  candidate->m_work_ms = GetEngineWorkMs(
+      candidate->m_unread_tokens, load.unread_tokens(), load.in_flight());
+}
+
+Choice PickCandidate(const Candidates &candidates) {
+  Choice choice;
+  choice.m_problem = candidates.m_problem;
+  double best = std::numeric_limits<double>::infinity();
+  for (const Candidate &candidate : candidates.m_list) {
+    double score = GetScore(candidate);
     if (score >= best) continue;
     best = score;
-    choice.m_upstream = id;
-    choice.m_address = report.address();
-    choice.m_unread_tokens = unread;
-    choice.m_is_silent = is_silent;
-    double trip = way >= kOtherRegionMs ? kOtherRegionTripMs : way;
+    choice.m_problem = ChoiceProblem::kNone;
+    choice.m_upstream = candidate.m_upstream;
+    choice.m_address = candidate.m_address;
+    choice.m_unread_tokens = candidate.m_unread_tokens;
+    choice.m_is_silent = candidate.m_is_silent;
     choice.m_expected = base::milliseconds(
-        static_cast<int>(GetWorkMs(request, candidate, unread) + trip));
+        static_cast<int>(candidate.m_work_ms + candidate.m_trip_ms));
   }
-  // The model must come from elsewhere if those that hold it are down.
-  if (choice.m_problem == ChoiceProblem::kDown && needs_model) {
-    choice.m_problem = ChoiceProblem::kNoModel;
-  }
-  if (!choice.m_upstream.empty()) choice.m_problem = ChoiceProblem::kNone;
   return choice;
 }
 
+Choice ChooseUpstream(const fleet::FleetView &view, StatsById *stats,
+                      const Location &location, const ChoiceRequest &request,
+                      base::TimePoint now) {
+  return PickCandidate(ListCandidates(view, stats, location, request, now));
+}
+
 }  // namespace wasabiwind::gateway
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -52,6 +52,41 @@
   bool m_is_silent = false;
 };
 
+/** An upstream that could run a request. */
+struct Candidate {
+  std::string m_upstream;
+  std::string m_address;
+  std::string m_domain;
+  std::uint64_t m_born_ms = 0;
+  std::uint32_t m_unread_tokens = 0;  ///< of the prompt
+  double m_work_ms = 0;               ///< until the first event, without way
+  double m_slowness = 1;              ///< factor on the work
+  double m_way_ms = 0;                ///< with the price of the bytes
+  double m_trip_ms = 0;               ///< without it
+  double m_doubt_ms = 0;              ///< failures, silence, start, affinity
+  bool m_is_silent = false;
+};
+
+struct Candidates {
+  std::vector<Candidate> m_list;
+  ChoiceProblem m_problem = ChoiceProblem::kNoUpstream;  ///< if it is empty
+};
+
+/** @return what a request costs at an upstream, in milliseconds. */
+double GetScore(const Candidate &candidate);
+
+/** @return all upstreams that could run a request now. */
+Candidates ListCandidates(const fleet::FleetView &view, StatsById *stats,
+                          const Location &location,
+                          const ChoiceRequest &request, base::TimePoint now);
+
+/** Replaces what this host knows of a runner's work by its book. */
+void ApplyLoad(const ChoiceRequest &request, const gen::LoadAnswer &load,
+               Candidate *candidate);
+
+/** @return the candidate with the least score, or the problem. */
+Choice PickCandidate(const Candidates &candidates);
+
 /**
  * Chooses the upstream with the least expected time to the first byte. The
  * time is made up of the way there, the prompt that it must read and work that
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,6 +64,9 @@
   m_location.m_domain = m_self.domain();
   m_location.m_region = m_self.region();
   m_location.m_region_by_domain = ParseDomains(m_settings.network().domains());
+  for (const auto &[domain, region] : m_location.m_region_by_domain) {
+    if (region == m_location.m_region) m_follower.m_near_domains.insert(domain);
+  }
   net::HttpClientOptions options;
   options.m_connect_timeout = kUpstreamConnectTimeout;
   options.m_user_timeout = kUpstreamUserTimeout;
@@ -263,6 +266,7 @@
     SendAll(fleet::TickFollower(&m_follower, now));
     RefillBudgets(now);
     ForgetStats();
+    ForgetLoads(&m_books, now);
     SendUse(now);
     SweepActive();
     net::SleepFor(kTick);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "fleet/follower_func.h"
 #include "gateway/choose_func.h"
 #include "gateway/directory_func.h"
+#include "gateway/load_book_func.h"
 #include "gateway/protocol_type.h"
 #include "gateway/use_func.h"
 #include "net/http_client.h"
@@ -24,6 +25,7 @@
 
 namespace wasabiwind::gateway {
 
+struct PendingLoads;
 struct RequestScope;
 
 /**
@@ -52,6 +54,10 @@
   /** Takes in a message of a control host. */
   void HandleMessage(const std::string &from, const gen::FleetMessage &message);
 
+  /** Takes in a datagram of another entry host. @param from its sender */
+  void HandleDatagram(const std::string &from,
+                      const gen::FleetMessage &message);
+
   /** Timers, until Stop. @pre inside net::RunFiberThread */
   void RunTicks();
   void Stop();
@@ -71,6 +77,8 @@
 
   /** @return limits for callers' connections, when a new table came. */
   std::function<void(const gen::CallerLimits &)> m_on_limits;
+  /** Sends a datagram to another entry host; without it, none are sent. */
+  Sender m_send_datagram;
 
  private:
   friend struct ActiveGuard;
@@ -100,6 +108,13 @@
                      const std::string &bytes);
   bool HasAlternative(const RequestScope &scope, const Choice &choice);
 
+  // gateway_load.cpp
+  Choice ChooseWithBooks(RequestScope *scope, base::TimePoint now);
+  void AskBooks(RequestScope *scope, const ChoiceRequest &request,
+                Candidates *candidates, base::TimePoint now);
+  void TellBook(const RequestScope &scope, gen::LoadEvent event);
+  void RecordInBook(const gen::LoadUpdate &update);
+
   // gateway.cpp
   void SendAll(const std::vector<fleet::OutMessage> &messages);
   void AdoptRoutes(gen::RouteTable table);
@@ -121,6 +136,10 @@
   routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
   StatsById m_stats;
   UseCounts m_uses;
+  LoadBooks m_books;  ///< of runners whose keeper this host is
+  std::map<std::uint64_t, PendingLoads *> m_load_queries;  ///< by number
+  std::uint64_t m_last_load_query = 0;
+  boost::fibers::condition_variable m_load_answered;
   std::map<std::string, route::Budget> m_budgets;  ///< by service
   base::TimePoint m_budgets_at;
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -37,8 +37,7 @@
   int m_runs = 0;               ///< of these, those that may have run
   int m_not_runs = 0;           ///< of these, those that surely didn't
   bool m_is_head_sent = false;  ///< the caller has status and headers
-  std::optional<std::uint64_t> m_last_event;   ///< passed on to the caller
-  std::optional<net::HttpResponse> m_failure;  ///< of the last upstream
+  std::optional<std::uint64_t> m_last_event;  ///< passed on to the caller
   EventCutter m_cutter;
 
   // The attempt in progress.
@@ -48,12 +47,25 @@
 
   // Outcome, for the log.
   bool m_is_caller_gone = false;
-  std::string m_upstream;  ///< last one tried
-  int m_status = 0;        ///< 0: none was sent
+  std::string m_upstream;             ///< last one tried
+  base::milliseconds m_expected{0};   ///< of the last choice
+  std::uint32_t m_unread_tokens = 0;  ///< of the last choice
+  int m_books_asked = 0;              ///< for the last choice
+  int m_books_known = 0;              ///< of these, those that answered
+  int m_status = 0;                   ///< 0: none was sent
   std::string m_outcome;
-  base::Duration m_waited{0};  ///< for an upstream that can run it
-  base::TimePoint m_sent_at;   ///< of the last attempt
-  base::TimePoint m_first_at;  ///< first byte from an upstream
+  base::Duration m_waited{0};       ///< for an upstream that can run it
+  base::TimePoint m_sent_at;        ///< of the last attempt
+  base::TimePoint m_first_at;       ///< first byte from an upstream
+  base::TimePoint m_last_at;        ///< last byte from an upstream
+  base::Duration m_longest_gap{0};  ///< between bytes from upstreams
+};
+
+/** Candidates of a request whose books were asked. */
+struct PendingLoads {
+  const ChoiceRequest *m_request = nullptr;
+  Candidates *m_candidates = nullptr;
+  int m_missing = 0;  ///< answers
 };
 
 /** Keeps a request in the set that the sweep looks at. */
--- /dev/null
+++ b/src/gateway/load_book_func.h
@@ -0,0 +1,70 @@
+/** @file load_book_func.h Load of runners, kept for all entry hosts.
+ *
+ * An entry host sees few of the requests that a runner gets. So each runner
+ * has one entry host of its region that keeps its book: others tell it which
+ * requests they send there, and ask it before they choose among copies. The
+ * book is only advice: a host that gets no answer in time chooses by what it
+ * knows itself.
+ */
+
+#ifndef WASABIWIND_GATEWAY_LOAD_BOOK_FUNC_H_
+#define WASABIWIND_GATEWAY_LOAD_BOOK_FUNC_H_
+
+#include <absl/container/flat_hash_map.h>
+#include <fleet.pb.h>
+
+#include <string>
+#include <vector>
+
+#include "base/time_type.h"
+#include "fleet/view_func.h"
+#include "gateway/choose_func.h"
+#include "gateway/upstream_stats_func.h"
+
+namespace wasabiwind::gateway {
+
+struct BookedRequest {
+  std::uint32_t m_unread_tokens = 0;  ///< 0 once its first event came
+  base::TimePoint m_ends_at;          ///< by then its caller has left
+};
+
+struct RunnerLoadBook {
+  std::uint64_t m_born_ms = 0;  ///< start that the rest belongs to
+  absl::flat_hash_map<std::string, BookedRequest> m_requests;  ///< by ID
+  std::uint64_t m_unread_tokens = 0;                           ///< sum
+  PrefixMemory m_prefixes;
+  base::TimePoint m_updated_at;
+};
+
+/** Not thread-safe. Books that nobody updates are forgotten. */
+using LoadBooks = absl::flat_hash_map<std::string, RunnerLoadBook>;
+
+/**
+ * Takes in what happened to a request.
+ * @param capacity tokens that the runner keeps
+ */
+void RecordLoad(LoadBooks *books, const gen::LoadUpdate &update,
+                std::uint64_t capacity, base::TimePoint now);
+
+/** @return the load of a runner as its book has it. */
+gen::LoadAnswer MakeLoadAnswer(LoadBooks *books, const gen::LoadQuery &query,
+                               base::TimePoint now);
+
+/** Drops requests that must have ended and books without news. */
+void ForgetLoads(LoadBooks *books, base::TimePoint now);
+
+/**
+ * @return the entry host that keeps a runner's book: all hosts that know the
+ *         same entry hosts agree. nullptr if none is known
+ * @param own this host, which the view may lack
+ */
+const gen::EntryHost *FindBookKeeper(const fleet::FleetView &view,
+                                     const Location &location,
+                                     const gen::EntryHost &own,
+                                     const std::string &upstream,
+                                     const std::string &domain,
+                                     base::TimePoint now);
+
+}  // namespace wasabiwind::gateway
+
+#endif  // WASABIWIND_GATEWAY_LOAD_BOOK_FUNC_H_
--- a/src/gateway/protocol_type.h
+++ b/src/gateway/protocol_type.h
@@ -35,9 +35,9 @@
 
 /** What the system adds to a request that it sends on. */
 struct ForwardFacts {
-  base::milliseconds m_remaining{0};    ///< time that is left
-  std::string m_upstream;               ///< the only one that may run it
-  std::optional<std::uint32_t> m_rank;  ///< 0 is the most urgent
+  base::milliseconds m_remaining{0};       ///< time that is left
+  std::string m_upstream;                  ///< the only one that may run it
+  std::optional<std::uint32_t> m_urgency;  ///< at a runner; 0 comes first
   std::string m_last_event;  ///< event after which a stream goes on, or ""
 };
 
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -198,8 +198,7 @@
       FinishUnknown(scope);
       return;
     }
-    Choice choice = ChooseUpstream(m_follower.m_view, &m_stats, m_location,
-                                   MakeChoiceRequest(*scope), now);
+    Choice choice = ChooseWithBooks(scope, now);
     if (choice.m_problem != ChoiceProblem::kNone) {
       if (WaitForChoice(scope, choice.m_problem)) continue;
       if (scope->m_is_caller_gone) continue;
@@ -322,6 +321,11 @@
             {"target",
              fleet::MakeTarget(scope.m_facts.m_model, scope.m_facts.m_adapter)},
             {"upstream", scope.m_upstream},
+            {"shared_prompt", GetSharedPrompt(scope.m_chain_keys)},
+            {"unread_tokens", scope.m_unread_tokens},
+            {"expected_ms", scope.m_expected.count()},
+            {"books_asked", scope.m_books_asked},
+            {"books_known", scope.m_books_known},
             {"outcome", scope.m_outcome},
             {"status", scope.m_status},
             {"reason", scope.m_reason},
@@ -330,6 +334,7 @@
             {"runs", scope.m_runs},
             {"waited_ms", base::ToMilliseconds(scope.m_waited)},
             {"first_ms", base::ToMilliseconds(first)},
+            {"longest_gap_ms", base::ToMilliseconds(scope.m_longest_gap)},
             {"took_ms", base::ToMilliseconds(now - scope.m_started)}});
 }
 
--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -11,6 +11,7 @@
 #include "base/log_func.h"
 #include "base/settings_func.h"
 #include "gateway/gateway.h"
+#include "net/datagram_socket.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 #include "net/program_func.h"
@@ -53,12 +54,16 @@
       const std::string &address, net::HttpHandler handler) const;
   base::Result<void> AddDirectory(const std::string &address);
   void Send(const std::string &to, const gen::FleetMessage &message);
+  gen::Envelope MakeEnvelope(const gen::FleetMessage &message) const;
+  void SendDatagram(const std::string &to, const gen::FleetMessage &message);
+  std::optional<gen::Envelope> Open(const std::string &message) const;
   void Receive(const std::string &message);
   void Drain();
 
   gen::FleetEntrySettings m_settings;
   Gateway m_gateway;
   std::unique_ptr<net::MessageTransport> m_transport;
+  std::unique_ptr<net::DatagramSocket> m_datagrams;
   std::unique_ptr<net::HttpServer> m_callers;
   std::vector<std::unique_ptr<net::HttpServer>> m_directories;
   std::unique_ptr<net::HttpServer> m_admin;
@@ -102,14 +107,28 @@
 }
 
 base::Result<void> EntryProgram::Start() {
+  const gen::FleetNetworkSettings &network = m_settings.network();
   base::Result<net::Endpoint> messages =
-      net::ParseEndpoint(m_settings.network().message_address());
+      net::ParseEndpoint(network.message_address());
   if (!messages) return tl::unexpected(messages.error());
+  base::Result<net::Endpoint> listen =
+      network.message_listen().empty()
+          ? messages
+          : net::ParseEndpoint(network.message_listen());
+  if (!listen) return tl::unexpected(listen.error());
   net::MessageTransportOptions transport;
-  transport.m_listen = *messages;
+  transport.m_listen = *listen;
   transport.m_max_message_bytes = kMaxMessageBytes;
   m_transport = std::make_unique<net::MessageTransport>(transport);
   if (base::Result<void> done = m_transport->Listen(); !done) return done;
+  m_datagrams = std::make_unique<net::DatagramSocket>();
+  if (base::Result<void> done = m_datagrams->Listen(*messages); !done) {
+    return done;
+  }
+  m_gateway.m_send_datagram = [this](const std::string &to,
+                                     const gen::FleetMessage &message) {
+    SendDatagram(to, message);
+  };
   auto callers = Listen(
       m_settings.callers().listen(),
       [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
@@ -135,6 +154,16 @@
   return {};
 }
 
+gen::Envelope EntryProgram::MakeEnvelope(
+    const gen::FleetMessage &message) const {
+  gen::Envelope envelope;
+  envelope.set_version(kEnvelopeVersion);
+  envelope.set_from(m_settings.network().message_address());
+  envelope.set_from_node(m_settings.node().name());
+  *envelope.mutable_fleet() = message;
+  return envelope;
+}
+
 void EntryProgram::Send(const std::string &to,
                         const gen::FleetMessage &message) {
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
@@ -142,27 +171,35 @@
     LogEvent(LogLevel::kWarn, "endpoint_unreadable", {{"endpoint", to}});
     return;
   }
-  gen::Envelope envelope;
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_settings.network().message_address());
-  envelope.set_from_node(m_settings.node().name());
-  *envelope.mutable_fleet() = message;
-  if (m_transport != nullptr) {
-    (void)m_transport->Send(*endpoint, envelope.SerializeAsString());
+  if (m_transport == nullptr) return;
+  (void)m_transport->Send(*endpoint, MakeEnvelope(message).SerializeAsString());
+}
+
+void EntryProgram::SendDatagram(const std::string &to,
+                                const gen::FleetMessage &message) {
+  base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
+  if (!endpoint) {
+    LogEvent(LogLevel::kWarn, "endpoint_unreadable", {{"endpoint", to}});
+    return;
   }
+  (void)m_datagrams->Send(*endpoint, MakeEnvelope(message).SerializeAsString());
 }
 
-void EntryProgram::Receive(const std::string &message) {
+std::optional<gen::Envelope> EntryProgram::Open(
+    const std::string &message) const {
   gen::Envelope envelope;
   bool is_valid = envelope.ParseFromString(message) &&
                   envelope.version() == kEnvelopeVersion &&
                   envelope.has_fleet();
-  if (!is_valid) {
-    LogEvent(LogLevel::kWarn, "message_unreadable",
-             {{"bytes", message.size()}});
-    return;
+  if (is_valid) return envelope;
+  LogEvent(LogLevel::kWarn, "message_unreadable", {{"bytes", message.size()}});
+  return std::nullopt;
+}
+
+void EntryProgram::Receive(const std::string &message) {
+  if (std::optional<gen::Envelope> envelope = Open(message)) {
+    m_gateway.HandleMessage(envelope->from(), envelope->fleet());
   }
-  m_gateway.HandleMessage(envelope.from(), envelope.fleet());
 }
 
 /** Serves callers that still come, then waits for the requests in progress. */
@@ -188,6 +225,14 @@
   boost::fibers::fiber transport([this] {
     m_transport->Run([this](const std::string &message) { Receive(message); });
   });
+  boost::fibers::fiber datagrams([this] {
+    m_datagrams->Run(
+        [this](const net::Endpoint &from, const std::string &message) {
+          if (std::optional<gen::Envelope> envelope = Open(message)) {
+            m_gateway.HandleDatagram(from.ToString(), envelope->fleet());
+          }
+        });
+  });
   boost::fibers::fiber callers([this] { m_callers->Serve(); });
   std::vector<boost::fibers::fiber> directories;
   for (const auto &server : m_directories) {
@@ -212,12 +257,14 @@
   m_admin->Stop();
   m_gateway.Stop();
   m_transport->Stop();
+  m_datagrams->Stop();
   settings.join();
   ticks.join();
   callers.join();
   for (boost::fibers::fiber &directory : directories) directory.join();
   admin.join();
   transport.join();
+  datagrams.join();
   LogEvent(LogLevel::kInfo, "stopped");
 }
 
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -42,6 +42,11 @@
   return keys;
 }
 
+std::uint64_t GetSharedPrompt(const std::vector<std::uint64_t> &keys) {
+  if (keys.empty()) return 0;
+  return keys.size() == 1 ? keys.front() : keys[keys.size() - 2];
+}
+
 std::uint32_t CountKeptTokens(const PrefixMemory &memory,
                               const RequestFacts &request,
                               const std::vector<std::uint64_t> &keys) {
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -46,6 +46,12 @@
 /** Keys of the chains of a prompt: each covers a part and all before it. */
 std::vector<std::uint64_t> MakeChainKeys(const RequestFacts &request);
 
+/**
+ * @return the key of the parts that a prompt shares with others: all but the
+ *         last; 0 without parts
+ */
+std::uint64_t GetSharedPrompt(const std::vector<std::uint64_t> &keys);
+
 /** @return tokens at the start of a prompt that a runner need not read. */
 std::uint32_t CountKeptTokens(const PrefixMemory &memory,
                               const RequestFacts &request,
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -17,6 +17,10 @@
 constexpr std::chrono::milliseconds kLeastPausePatience{2'000};
 constexpr int kPatienceObjectives = 4;
 constexpr int kPatienceGaps = 8;
+/** Steps of urgency within a rank, and the objectives where they begin. */
+constexpr std::uint32_t kUrgencySteps = 3;
+constexpr std::chrono::milliseconds kMiddleObjective{700};
+constexpr std::chrono::milliseconds kLongObjective{1'500};
 
 std::string ToLower(std::string_view text) {
   std::string lower(text);
@@ -148,6 +152,14 @@
        std::chrono::milliseconds(route.max_gap_ms()) * kPatienceGaps});
 }
 
+std::uint32_t GetUrgency(const gen::Route &route) {
+  std::chrono::milliseconds objective(route.objective_ms());
+  std::uint32_t step = 0;
+  if (objective >= kMiddleObjective) step = 1;
+  if (objective >= kLongObjective) step = 2;
+  return route.rank() * kUrgencySteps + step;
+}
+
 bool IsRepeatable(const gen::Route &route) {
   return route.kind() == gen::ROUTE_IDEMPOTENT ||
          (route.kind() == gen::ROUTE_STREAM && route.is_resumable());
--- a/src/routes/table_func.h
+++ b/src/routes/table_func.h
@@ -69,6 +69,12 @@
  */
 std::chrono::milliseconds GetPausePatience(const gen::Route &route);
 
+/**
+ * @return how early a runner takes a request of the route, from 0, the first:
+ *         by rank, and within a rank by objective
+ */
+std::uint32_t GetUrgency(const gen::Route &route);
+
 /** @return whether a request of the route may run more than once. */
 bool IsRepeatable(const gen::Route &route);
 
--- a/src/scenario/process_base.h
+++ b/src/scenario/process_base.h
@@ -44,6 +44,9 @@
                            const std::vector<std::string> &arguments,
                            const std::string &output);
 
+  /** @return the process ID, -1 before the first start. */
+  pid_t GetId() const { return m_pid; }
+
   /** Sends a signal if the child runs. */
   void Signal(int signal);
 
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -186,6 +186,39 @@
   EXPECT_EQ(follower.m_routes_version, 3u);
 }
 
+// Tables went to entry hosts from whichever control host was first, mostly over
+// the priced links between regions. (hutchworks-live-grown trouble-2: 0.23 GB.)
+TEST(FollowerTest, AsksANearPublisherForATableFirst) {
+  Follower follower;
+  follower.m_routes_version = 1;
+  follower.m_near_domains = {"near"};
+  gen::News news;
+  news.set_publisher_epoch(1);
+  for (const char *publisher : {kA, kB}) {
+    gen::ControlHost *control = news.add_facts()->mutable_control();
+    control->set_name(publisher);
+    control->set_endpoint(publisher);
+    control->set_domain(publisher == std::string(kA) ? "near" : "far");
+  }
+  news.set_last_number(2);
+  news.set_routes_version(1);
+  HandleNews(&follower, kA, news, At(1'000));
+  gen::News announced;
+  announced.set_publisher_epoch(1);
+  announced.set_first_number(2);
+  announced.set_last_number(2);
+  announced.set_routes_version(2);
+  auto wants = [&](const char *publisher, int ms) {
+    NewsResult result = HandleNews(&follower, publisher, announced, At(ms));
+    return !result.m_messages.empty() &&
+           result.m_messages[0].m_message.follow().wants_routes();
+  };
+  EXPECT_FALSE(wants(kB, 1'010));
+  EXPECT_TRUE(wants(kA, 1'020));
+  // The near one doesn't answer; after a moment any will do.
+  EXPECT_TRUE(wants(kB, 1'500));
+}
+
 TEST(FollowerTest, FollowsSeedsAndKnownHostsOncePerPeriod) {
   Follower follower;
   follower.m_own_endpoint = kB;
--- a/tests/gateway_choose_test.cpp
+++ b/tests/gateway_choose_test.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/choose_func.h"
 #include "gateway/directory_func.h"
+#include "gateway/load_book_func.h"
 
 namespace wasabiwind::gateway {
 namespace {
@@ -204,5 +205,121 @@
             1u);
 }
 
+// Two hosts sent their prompts to one copy while another copy had no work,
+// because neither knew of the other's. (hutchworks-live-grown quiet-1.)
+TEST_F(ChooseTest, BookTellsOfOtherHostsWork) {
+  m_facts.m_parts.clear();
+  ChoiceRequest request;
+  request.m_facts = &m_facts;
+  request.m_service = &m_service;
+  Candidates candidates =
+      ListCandidates(m_view, &m_stats, m_location, request, At(10));
+  ASSERT_EQ(candidates.m_list.size(), 2u);
+  EXPECT_EQ(PickCandidate(candidates).m_upstream, "i-1");
+  LoadBooks books;
+  gen::LoadUpdate update;
+  update.set_upstream("i-1");
+  update.set_born_ms(5);
+  update.set_request("other");
+  update.set_event(gen::LOAD_SENT);
+  update.set_unread_tokens(9'000);
+  update.set_patience_ms(6'000);
+  RecordLoad(&books, update, 100'000, At(0));
+  gen::LoadQuery query;
+  query.set_upstream("i-1");
+  for (Candidate &candidate : candidates.m_list) {
+    if (candidate.m_upstream != "i-1") continue;
+    ApplyLoad(request, MakeLoadAnswer(&books, query, At(10)), &candidate);
+  }
+  EXPECT_EQ(PickCandidate(candidates).m_upstream, "i-2");
+}
+
+TEST(LoadBookTest, RequestsLeaveTheBookWhenTheyEndOrTheirCallersHaveLeft) {
+  LoadBooks books;
+  gen::LoadUpdate update;
+  update.set_upstream("i-1");
+  update.set_born_ms(5);
+  update.set_event(gen::LOAD_SENT);
+  update.set_unread_tokens(100);
+  update.set_patience_ms(1'000);
+  for (const char *id : {"a", "b", "c"}) {
+    update.set_request(id);
+    RecordLoad(&books, update, 1'000, At(0));
+  }
+  gen::LoadQuery query;
+  query.set_upstream("i-1");
+  EXPECT_EQ(MakeLoadAnswer(&books, query, At(1)).in_flight(), 3u);
+  update.set_request("a");
+  update.set_event(gen::LOAD_READ);
+  RecordLoad(&books, update, 1'000, At(2));
+  update.set_request("b");
+  update.set_event(gen::LOAD_OVER);
+  RecordLoad(&books, update, 1'000, At(3));
+  // An update that comes twice changes nothing.
+  RecordLoad(&books, update, 1'000, At(4));
+  gen::LoadAnswer answer = MakeLoadAnswer(&books, query, At(5));
+  EXPECT_EQ(answer.in_flight(), 2u);
+  EXPECT_EQ(answer.unread_tokens(), 100u);
+  answer = MakeLoadAnswer(&books, query, At(1'100));
+  EXPECT_EQ(answer.in_flight(), 0u);
+  EXPECT_EQ(answer.unread_tokens(), 0u);
+}
+
+TEST(LoadBookTest, LaterStartOfARunnerBeginsAnEmptyBook) {
+  LoadBooks books;
+  gen::LoadUpdate update;
+  update.set_upstream("i-1");
+  update.set_born_ms(5);
+  update.set_request("a");
+  update.set_patience_ms(1'000);
+  RecordLoad(&books, update, 1'000, At(0));
+  update.set_born_ms(9);
+  update.set_request("b");
+  RecordLoad(&books, update, 1'000, At(1));
+  // News of the start before come late.
+  update.set_born_ms(5);
+  update.set_request("c");
+  RecordLoad(&books, update, 1'000, At(2));
+  gen::LoadQuery query;
+  query.set_upstream("i-1");
+  EXPECT_EQ(MakeLoadAnswer(&books, query, At(3)).in_flight(), 1u);
+}
+
+// Hosts that disagree on the keeper would each see a part of the load.
+TEST(LoadBookTest, HostsAgreeOnTheKeeperAndStayInTheRunnersRegion) {
+  Location location;
+  location.m_region_by_domain = {{"near", "r1"}, {"far", "r2"}};
+  fleet::FleetView view;
+  view.m_publishers[kPublisher].m_heard_at = At(0);
+  std::vector<gen::EntryHost> hosts;
+  for (int i = 0; i < 6; ++i) {
+    gen::Fact fact;
+    gen::EntryHost *host = fact.mutable_entry();
+    host->set_name("e" + std::to_string(i));
+    host->set_region(i < 3 ? "r1" : "r2");
+    host->set_state(gen::ENTRY_SERVING);
+    host->set_born_ms(1);
+    host->set_report_number(1);
+    hosts.push_back(*host);
+    fleet::ApplyFact(&view, kPublisher, fact, At(0));
+  }
+  std::set<std::string> keepers;
+  for (int runner = 0; runner < 30; ++runner) {
+    std::string id = "i-" + std::to_string(runner);
+    const gen::EntryHost *first =
+        FindBookKeeper(view, location, hosts[0], id, "near", At(1));
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(first->region(), "r1");
+    for (const gen::EntryHost &host : hosts) {
+      const gen::EntryHost *keeper =
+          FindBookKeeper(view, location, host, id, "near", At(1));
+      ASSERT_NE(keeper, nullptr);
+      EXPECT_EQ(keeper->name(), first->name());
+    }
+    keepers.insert(first->name());
+  }
+  EXPECT_EQ(keepers.size(), 3u);
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -171,7 +171,7 @@
   gateway::ForwardFacts facts;
   facts.m_remaining = std::chrono::milliseconds(1'500);
   facts.m_upstream = "i-1";
-  facts.m_rank = 2;
+  facts.m_urgency = 2;
   net::HttpHeaders headers =
       MakeGatewayProtocol().m_make_headers(MakeCallerRequest(), facts);
   EXPECT_EQ(headers.Find("X-Wasabiwind-Hold"), nullptr);
--- a/tests/routes_table_test.cpp
+++ b/tests/routes_table_test.cpp
@@ -91,6 +91,22 @@
   EXPECT_FALSE(IsRepeatable(route));
 }
 
+// Digests with 0.8 s to their first event waited behind plans with 2.5 s,
+// because both have one rank. (hutchworks-live-grown scale-1.)
+TEST(RouteTableTest, UrgencyFollowsRankThenObjective) {
+  gen::Route chat;
+  chat.set_objective_ms(500);
+  gen::Route digest;
+  digest.set_rank(1);
+  digest.set_objective_ms(800);
+  gen::Route plan;
+  plan.set_rank(1);
+  plan.set_objective_ms(2'500);
+  EXPECT_EQ(GetUrgency(chat), 0u);
+  EXPECT_LT(GetUrgency(chat), GetUrgency(digest));
+  EXPECT_LT(GetUrgency(digest), GetUrgency(plan));
+}
+
 TEST(RouteTableTest, CallersOfStreamsWaitForTheLongestOfThreePauses) {
   gen::Route route;
   EXPECT_EQ(GetPausePatience(route), std::chrono::milliseconds(2'000));
