Add a fault soak of the real programs

ww_soak starts entry and control hosts as processes of their own, plays callers, upstreams and operators around them, and injects faults from outside: loopback proxies that delay, reset, silence or cut one way; SIGKILL, SIGTERM, SIGSTOP and restarts, in series and overlapping; lost and full disks of control hosts (a limit on file size); upstreams that crash, slow down, lose or garble answers and carry out orders late.

It checks while it runs, from what callers and upstreams see: own and whole answers, at most once, true refusals, leaves, tables in force and never back, nothing acknowledged lost, one holder of orders, memory, the store's ceiling, planned work that cuts nothing, and service after the faults. Promises with a time count for hosts that were calm. Each check has a unit test that breaks its promise.

Programs may now listen for messages elsewhere than at their published address ([network] message_listen), which the proxies need.

--- /dev/null
+++ b/soak/client.cpp
@@ -0,0 +1,325 @@
+/** @file client.cpp Callers and operators that the soak plays. */
+
+#include "soak/client.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+#include "net/fiber_scheduler.h"
+
+namespace wasabiwind::soak {
+
+namespace {
+
+using base::Clock;
+using base::milliseconds;
+using base::TimePoint;
+
+constexpr milliseconds kAddressLife{1'000};
+constexpr milliseconds kAddressTimeout{400};
+constexpr milliseconds kMeanPause{60};
+constexpr milliseconds kPlainPatience{1'500};
+constexpr milliseconds kStreamPatience{6'000};
+constexpr milliseconds kCallTimeout{1'000};
+constexpr milliseconds kOperatorPause{60};
+constexpr std::uint64_t kNewConnectionChance = 8;  ///< one of so many
+constexpr std::uint64_t kGiveUpChance = 15;        ///< one of so many
+constexpr int kMostRedirects = 2;
+constexpr std::uint32_t kPromptTokens = 400;
+constexpr std::uint32_t kOutputTokens = 32;
+
+/** One kind of request. */
+struct RequestKind {
+  const char *m_path;
+  bool m_is_repeatable;
+  bool m_needs_model;
+};
+
+constexpr std::array<RequestKind, 5> kKinds = {{
+    {"/once/", false, false},
+    {"/safe/", true, false},
+    {"/move/", true, false},
+    {"/flow/", true, true},
+    {"/once-flow/", false, true},
+}};
+
+/** @return the number of an endpoint in a list, or -1. */
+int FindNumber(const std::vector<net::Endpoint> &list,
+               const std::string &address) {
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    if (list[i].ToString() == address) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+gen::Route MakeRoute(const char *path, gen::RouteKind kind,
+                     const std::string &service) {
+  gen::Route route;
+  route.set_name("r" + std::string(path, 1, std::string(path).size() - 2));
+  route.set_host(kRouteHost);
+  route.set_path_prefix(path);
+  route.set_kind(kind);
+  route.set_timeout_ms(kind == gen::ROUTE_STREAM ? 6'000 : 1'500);
+  route.set_objective_ms(500);
+  route.set_max_attempts(2);
+  gen::RouteTarget *target = route.add_targets();
+  target->set_service(service);
+  target->set_weight(1);
+  if (kind == gen::ROUTE_STREAM) route.set_max_gap_ms(400);
+  return route;
+}
+
+}  // namespace
+
+Caller::Caller(CallerOptions options, const Addresses *addresses,
+               const SoakProtocol *protocol, Monitor *monitor)
+    : m_options(std::move(options)),
+      m_addresses(addresses),
+      m_protocol(protocol),
+      m_monitor(monitor),
+      m_random{m_options.m_seed} {}
+
+void Caller::RefreshAddresses() {
+  if (Clock::now() < m_refresh_at) return;
+  net::HttpRequest query = m_protocol->m_encode_address_query(
+      kRouteHost, m_options.m_region, m_options.m_domain);
+  auto count = m_addresses->m_directories.size();
+  std::size_t first = NextRandomBelow(&m_random, count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const net::Endpoint &host = m_addresses->m_directories[(first + i) % count];
+    auto answer = m_client.Fetch(host, query, Clock::now() + kAddressTimeout);
+    if (!answer || answer->m_status != 200) {
+      m_client.CloseIdle(host);
+      continue;
+    }
+    std::vector<int> usable;
+    for (const std::string &address : m_protocol->m_decode_addresses(*answer)) {
+      int number = FindNumber(m_addresses->m_callers, address);
+      if (number >= 0) usable.push_back(number);
+    }
+    if (usable.empty()) continue;
+    m_usable = std::move(usable);
+    m_refresh_at = Clock::now() + kAddressLife;
+    return;
+  }
+}
+
+int Caller::ChooseEntry() {
+  if (m_usable.empty()) return -1;
+  return m_usable[NextRandomBelow(&m_random, m_usable.size())];
+}
+
+CallerRequest Caller::DrawRequest(RequestRecord *record) {
+  const RequestKind &kind = kKinds[NextRandomBelow(&m_random, kKinds.size())];
+  CallerRequest request;
+  request.m_id = fmt::format("c{}-{}", m_options.m_number, ++m_sent);
+  request.m_host = kRouteHost;
+  request.m_path = kind.m_path;
+  request.m_body = "body of " + request.m_id;
+  request.m_patience = kPlainPatience;
+  if (kind.m_needs_model) {
+    // The square favours the first models.
+    double unit = NextRandomUnit(&m_random);
+    auto number = static_cast<std::size_t>(
+        unit * unit * static_cast<double>(m_options.m_models.size()));
+    request.m_model = m_options.m_models[number];
+    request.m_prompt_tokens = kPromptTokens;
+    request.m_output_tokens = kOutputTokens;
+    request.m_patience = kStreamPatience;
+  }
+  record->m_path = request.m_path;
+  record->m_model = request.m_model;
+  record->m_body = request.m_body;
+  record->m_is_repeatable = kind.m_is_repeatable;
+  record->m_is_stream = kind.m_needs_model;
+  return request;
+}
+
+void Caller::Send() {
+  RequestRecord record;
+  CallerRequest request = DrawRequest(&record);
+  record.m_entry = ChooseEntry();
+  if (record.m_entry < 0) return;
+  record.m_sent_at = Clock::now();
+  const net::Endpoint &entry =
+      m_addresses->m_callers[static_cast<std::size_t>(record.m_entry)];
+  bool is_fresh = NextRandomBelow(&m_random, kNewConnectionChance) == 0;
+  bool gives_up = NextRandomBelow(&m_random, kGiveUpChance) == 0;
+  m_monitor->SendRequest(request.m_id, record);
+  if (m_tally != nullptr) ++m_tally->m_sent;
+  milliseconds wait = gives_up ? request.m_patience / 20 : request.m_patience;
+  TimePoint deadline = Clock::now() + wait;
+  auto start =
+      m_client.Start(entry, m_protocol->m_encode_request(request), deadline,
+                     is_fresh ? net::HttpClientPool::Reuse::kFresh
+                              : net::HttpClientPool::Reuse::kPooled);
+  if (start.m_call == nullptr) {
+    ++m_monitor->m_counts["no_connection"];
+    // Callers leave out addresses that failed until they know better.
+    std::erase(m_usable, record.m_entry);
+    m_refresh_at = TimePoint();
+    return;
+  }
+  base::Result<net::HttpResponse> answer = start.m_call->ReadHead(deadline);
+  while (answer) {
+    base::Result<bool> more = start.m_call->ReadSome(&answer->m_body, deadline);
+    if (!more) answer = tl::unexpected(more.error());
+    if (!more || !*more) break;
+  }
+  if (!answer) {
+    bool is_cut = answer.error().m_kind != base::ErrorKind::kTimeout;
+    if (is_cut) m_monitor->CutRequest(request.m_id);
+    ++m_monitor->m_counts[gives_up ? "given_up" : "no_answer"];
+    return;
+  }
+  m_monitor->EndRequest(request.m_id, *answer,
+                        m_protocol->m_get_signature(*answer));
+  bool is_served = answer->m_status == 200;
+  if (m_tally != nullptr && is_served) ++m_tally->m_served;
+}
+
+void Caller::Run(TimePoint end) {
+  while (Clock::now() < end) {
+    RefreshAddresses();
+    Send();
+    net::SleepFor(milliseconds(static_cast<int>(NextRandomExponential(
+        &m_random, static_cast<double>(kMeanPause.count())))));
+  }
+}
+
+Operator::Operator(std::uint64_t seed, const Addresses *addresses,
+                   const SoakProtocol *protocol, Monitor *monitor,
+                   gen::RouteTable first)
+    : m_addresses(addresses),
+      m_protocol(protocol),
+      m_monitor(monitor),
+      m_random{seed},
+      m_table(std::move(first)) {}
+
+Operator::Reply Operator::Call(const net::HttpRequest &request) {
+  const auto &hosts = m_addresses->m_control;
+  std::string address =
+      hosts[NextRandomBelow(&m_random, hosts.size())].ToString();
+  Reply reply;
+  for (int hop = 0; hop <= kMostRedirects; ++hop) {
+    base::Result<net::Endpoint> host = net::ParseEndpoint(address);
+    if (!host) return Reply();
+    auto answer = m_client.Fetch(*host, request, Clock::now() + kCallTimeout);
+    if (!answer) {
+      m_client.CloseIdle(*host);
+      return Reply();
+    }
+    reply = Reply{answer->m_status, answer->m_body};
+    if (reply.m_status != 307) return reply;
+    std::string location = answer->m_headers.Get("Location");
+    std::size_t start = std::string("http://").size();
+    if (location.size() <= start) return Reply();
+    address = location.substr(start, location.find('/', start) - start);
+  }
+  return reply;
+}
+
+/** Sends the moving route to the service that the version names. */
+std::string Operator::MakeNextDocument(std::uint64_t *version) {
+  m_table.set_version(m_table.version() + 1 + NextRandomBelow(&m_random, 3));
+  *version = m_table.version();
+  for (gen::Route &route : *m_table.mutable_routes()) {
+    if (route.path_prefix() != "/move/") continue;
+    route.mutable_targets(0)->set_service(
+        fmt::format("desk-{}", *version % Monitor::kMovingServices));
+  }
+  return m_protocol->m_encode_table(m_table);
+}
+
+bool Operator::Put(TimePoint deadline) {
+  std::uint64_t version = 0;
+  std::string document = MakeNextDocument(&version);
+  m_monitor->SendTable(version, document);
+  while (Clock::now() < deadline) {
+    Reply reply = Call(m_protocol->m_encode_put(document));
+    if (reply.m_status == 200) {
+      m_monitor->AcknowledgeTable(version);
+      return true;
+    }
+    if (reply.m_status >= 400 && reply.m_status < 500) {
+      m_monitor->Break(
+          "valid tables",
+          fmt::format("table {} was refused with {}", version, reply.m_status));
+      return false;
+    }
+    net::SleepFor(kOperatorPause);
+  }
+  return false;
+}
+
+void Operator::PutInvalid() {
+  gen::RouteTable invalid = m_table;
+  invalid.set_version(m_table.version() + 1'000'000);
+  invalid.mutable_routes(0)->mutable_targets(0)->set_service("nobody");
+  Reply reply =
+      Call(m_protocol->m_encode_put(m_protocol->m_encode_table(invalid)));
+  if (reply.m_status == 200) {
+    m_monitor->Break("valid tables", "an invalid table was acknowledged");
+  }
+}
+
+bool Operator::Read(TimePoint deadline) {
+  while (Clock::now() < deadline) {
+    std::uint64_t acknowledged = m_monitor->GetAcknowledged();
+    Reply reply = Call(m_protocol->m_encode_get());
+    if (reply.m_status == 200) {
+      m_monitor->ReadTable(reply.m_body, acknowledged);
+      return true;
+    }
+    net::SleepFor(kOperatorPause);
+  }
+  return false;
+}
+
+gen::RouteTable MakeSoakTable(const std::vector<std::string> &models,
+                              double model_mb, double weight_mb,
+                              std::uint32_t adapter_slots,
+                              std::uint32_t adapters, double loads_per_s) {
+  gen::RouteTable table;
+  for (std::uint64_t i = 0; i < Monitor::kMovingServices; ++i) {
+    gen::RoutedService *desk = table.add_services();
+    desk->set_name(fmt::format("desk-{}", i));
+    desk->set_max_connections(200);
+  }
+  gen::RoutedService *service = table.add_services();
+  service->set_name("engines");
+  service->set_max_connections(200);
+  gen::EngineCapacity *engine = service->mutable_engine();
+  engine->set_slots(32);
+  engine->set_kv_tokens(100'000);
+  engine->set_weight_mb(weight_mb);
+  engine->set_adapter_slots(adapter_slots);
+  engine->set_loads_per_second(loads_per_s);
+  for (const std::string &name : models) {
+    gen::HostedModel *model = engine->add_models();
+    model->set_name(name);
+    model->set_weight_mb(model_mb);
+    model->set_store_load_ms(1'200);
+    model->set_disk_load_ms(250);
+    model->set_memory_load_ms(200);
+    model->set_adapters(adapters);
+    model->set_adapter_mb(1);
+  }
+  *table.add_routes() =
+      MakeRoute("/once/", gen::ROUTE_NON_IDEMPOTENT, "desk-0");
+  *table.add_routes() = MakeRoute("/safe/", gen::ROUTE_IDEMPOTENT, "desk-0");
+  *table.add_routes() = MakeRoute("/move/", gen::ROUTE_IDEMPOTENT, "desk-0");
+  *table.add_routes() = MakeRoute("/flow/", gen::ROUTE_STREAM, "engines");
+  table.mutable_routes(3)->set_is_resumable(true);
+  *table.add_routes() = MakeRoute("/once-flow/", gen::ROUTE_STREAM, "engines");
+  gen::CallerLimits *limits = table.mutable_limits();
+  limits->set_header_bytes(16'384);
+  limits->set_body_bytes(1 << 20);
+  limits->set_header_timeout_ms(3'000);
+  limits->set_idle_timeout_ms(15'000);
+  return table;
+}
+
+}  // namespace wasabiwind::soak
--- /dev/null
+++ b/soak/fake_runner.cpp
@@ -0,0 +1,369 @@
+/** @file fake_runner.cpp An upstream that the soak plays itself. */
+
+#include "soak/fake_runner.h"
+
+#include <fmt/format.h>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "base/log_func.h"
+#include "net/fiber_scheduler.h"
+
+namespace wasabiwind::soak {
+
+namespace {
+
+using base::Clock;
+using base::milliseconds;
+using fleet::OrderOutcome;
+
+constexpr milliseconds kHeartbeat{1'000};
+constexpr milliseconds kReportTimeout{1'000};
+constexpr milliseconds kStoreLoad{1'200};
+constexpr milliseconds kDiskLoad{250};
+constexpr milliseconds kUnload{30};
+constexpr milliseconds kAdapterLoad{8};
+constexpr milliseconds kPlainWork{12};
+constexpr milliseconds kEventGap{25};
+constexpr milliseconds kLateOrder{1'500};
+/** A runner serves on for this after the bound of its leave. */
+constexpr milliseconds kAfterDrain{300};
+constexpr int kSlowFactor = 10;
+constexpr int kSlots = 32;
+
+std::uint64_t GetWallMs() {
+  return static_cast<std::uint64_t>(
+      base::ToMilliseconds(base::WallClock::now().time_since_epoch()));
+}
+
+net::HttpServerOptions MakeServerOptions(const net::Endpoint &listen) {
+  net::HttpServerOptions options;
+  options.m_listen = listen;
+  options.m_is_half_closed_gone = true;
+  return options;
+}
+
+}  // namespace
+
+FakeRunner::FakeRunner(FakeRunnerOptions options, const SoakProtocol *protocol,
+                       Monitor *monitor)
+    : m_options(std::move(options)),
+      m_protocol(protocol),
+      m_monitor(monitor),
+      m_link(m_options.m_published, m_options.m_listen),
+      m_server(
+          MakeServerOptions(m_options.m_listen),
+          [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
+            Handle(request, exchange);
+          }),
+      m_random{m_options.m_seed} {
+  for (const std::string &model : m_options.m_first_models) {
+    m_models[model];
+    m_on_disk.insert(model);
+  }
+}
+
+base::Result<void> FakeRunner::Listen() {
+  if (base::Result<void> done = m_server.Listen(); !done) return done;
+  return m_link.Listen();
+}
+
+/** Begins a new start under a new ID. */
+void FakeRunner::StartLife() {
+  ++m_life;
+  m_id = fmt::format("{}-{}", m_options.m_name, m_life);
+  m_born_ms = std::max(GetWallMs(), m_born_ms + 1);
+  m_report_number = 0;
+  m_accepted = 0;
+  m_is_busy = false;
+  m_is_leaving = false;
+  m_is_up = true;
+  m_link.m_state.m_is_refusing = false;
+}
+
+void FakeRunner::Run() {
+  StartLife();
+  boost::fibers::fiber server([this] { m_server.Serve(); });
+  boost::fibers::fiber link([this] { m_link.Serve(); });
+  base::TimePoint next = Clock::now();
+  while (!m_is_stopped) {
+    if (m_is_up && Clock::now() >= next) {
+      (void)Report(m_is_leaving ? gen::UPSTREAM_LEAVING : gen::UPSTREAM_READY);
+      next = Clock::now() + kHeartbeat;
+    }
+    net::SleepFor(milliseconds(20));
+  }
+  m_link.Stop();
+  m_server.Stop();
+  link.join();
+  server.join();
+  while (m_detached > 0) net::SleepFor(milliseconds(5));
+}
+
+void FakeRunner::Stop() { m_is_stopped = true; }
+
+void FakeRunner::Crash(milliseconds down) {
+  if (!m_is_up || m_is_leaving) return;
+  m_is_up = false;
+  m_link.m_state.m_is_refusing = true;
+  m_link.Reset();
+  m_models.clear();
+  ++m_detached;
+  boost::fibers::fiber([this, down] {
+    net::SleepFor(down);
+    if (!m_is_stopped) StartLife();
+    --m_detached;
+  }).detach();
+}
+
+void FakeRunner::Leave(milliseconds drain) {
+  if (!m_is_up || m_is_leaving) return;
+  m_is_leaving = true;
+  ++m_detached;
+  boost::fibers::fiber([this, drain] {
+    std::string id = m_id;
+    std::uint64_t life = m_life;
+    bool is_known = false;
+    for (int i = 0; i < 5 && !is_known && IsThisLife(life); ++i) {
+      is_known = Report(gen::UPSTREAM_LEAVING);
+    }
+    if (is_known) m_monitor->AcknowledgeLeave(id, Clock::now());
+    base::TimePoint end = Clock::now() + drain + kAfterDrain;
+    while (IsThisLife(life) && Clock::now() < end) {
+      net::SleepFor(milliseconds(20));
+    }
+    while (IsThisLife(life) && m_running > 0) net::SleepFor(milliseconds(20));
+    m_is_leaving = false;
+    Crash(milliseconds(2'500));
+    --m_detached;
+  }).detach();
+}
+
+gen::UpstreamReport FakeRunner::MakeReport(gen::UpstreamState state) {
+  gen::UpstreamReport report;
+  report.set_id(m_id);
+  report.set_born_ms(m_born_ms);
+  report.set_report_number(++m_report_number);
+  report.set_service(m_options.m_service);
+  report.set_address(m_options.m_published.ToString());
+  report.set_domain(m_options.m_domain);
+  report.set_state(state);
+  report.set_slots(kSlots);
+  for (const auto &[name, held] : m_models) {
+    if (held.m_is_loading) continue;
+    gen::ResidentModel *model = report.add_models();
+    model->set_name(name);
+    for (const std::string &adapter : held.m_adapters) {
+      model->add_adapters(adapter);
+    }
+  }
+  for (const std::string &model : m_on_disk) report.add_on_disk(model);
+  return report;
+}
+
+/** Reports to any control host. @return whether one acknowledged it */
+bool FakeRunner::Report(gen::UpstreamState state) {
+  net::HttpRequest request = m_protocol->m_encode_report(MakeReport(state));
+  auto count = m_options.m_control.size();
+  std::size_t first = NextRandomBelow(&m_random, count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const net::Endpoint &host = m_options.m_control[(first + i) % count];
+    auto answer =
+        m_client.Fetch(host, request, Clock::now() + kReportTimeout, 4'096);
+    if (answer && answer->m_status == 200) return true;
+    m_client.CloseIdle(host);
+  }
+  return false;
+}
+
+bool FakeRunner::Holds(const std::string &target) const {
+  std::size_t slash = target.find('/');
+  auto found = m_models.find(target.substr(0, slash));
+  if (found == m_models.end() || found->second.m_is_loading) return false;
+  return slash == std::string::npos ||
+         found->second.m_adapters.contains(target.substr(slash + 1));
+}
+
+void FakeRunner::Handle(const net::HttpRequest &request,
+                        net::HttpExchange &exchange) {
+  if (!m_is_up) {
+    exchange.Abort();
+    return;
+  }
+  if (m_protocol->m_is_status_query(request)) {
+    fleet_control::RunnerStatus status;
+    status.m_born_ms = m_born_ms;
+    status.m_accepted_orders = m_accepted;
+    status.m_is_busy = m_is_busy;
+    gen::UpstreamReport report = MakeReport(gen::UPSTREAM_READY);
+    status.m_models.assign(report.models().begin(), report.models().end());
+    (void)exchange.Respond(m_protocol->m_encode_status(status));
+    return;
+  }
+  if (auto order = m_protocol->m_decode_order(request)) {
+    HandleOrder(*order, exchange);
+    return;
+  }
+  HandleRequest(request, exchange);
+}
+
+void FakeRunner::HandleOrder(const fleet_control::RunnerOrder &order,
+                             net::HttpExchange &exchange) {
+  std::uint64_t life = m_life;
+  if (!m_misbehavior.m_delays_orders) {
+    OrderOutcome outcome =
+        order.m_upstream == m_id ? CarryOut(order) : OrderOutcome::kOtherRunner;
+    (void)exchange.Respond(m_protocol->m_encode_order_answer(outcome));
+    return;
+  }
+  exchange.Abort();
+  ++m_detached;
+  boost::fibers::fiber([this, order, life] {
+    net::SleepFor(kLateOrder);
+    if (IsThisLife(life) && order.m_upstream == m_id) (void)CarryOut(order);
+    --m_detached;
+  }).detach();
+}
+
+Monitor::RunnerLoad FakeRunner::GetLoad(
+    const fleet_control::RunnerOrder &order) const {
+  Monitor::RunnerLoad load;
+  for (const auto &[name, held] : m_models) {
+    load.m_weight_mb += m_options.m_model_mb;
+    load.m_adapters += held.m_adapters.size();
+  }
+  if (!order.m_is_load) return load;
+  if (order.m_adapter.empty()) {
+    load.m_weight_mb += m_options.m_model_mb;
+  } else {
+    ++load.m_adapters;
+  }
+  load.m_weight_mb +=
+      static_cast<double>(load.m_adapters * m_options.m_adapter_mb);
+  return load;
+}
+
+OrderOutcome FakeRunner::CarryOut(const fleet_control::RunnerOrder &order) {
+  if (m_is_busy || order.m_expected != m_accepted) {
+    return OrderOutcome::kConflict;
+  }
+  auto held = m_models.find(order.m_model);
+  bool is_held = held != m_models.end();
+  bool is_adapter = !order.m_adapter.empty();
+  if (is_adapter && !is_held) return OrderOutcome::kRefused;
+  bool has_target =
+      is_adapter ? held->second.m_adapters.contains(order.m_adapter) : is_held;
+  if (has_target == order.m_is_load) return OrderOutcome::kAlreadyHolds;
+  ++m_accepted;
+  bool is_from_store =
+      order.m_is_load && !is_adapter && !m_on_disk.contains(order.m_model);
+  m_monitor->AcceptOrder(m_id, order, GetLoad(order), is_from_store);
+  if (is_adapter && !order.m_is_load) {
+    held->second.m_adapters.erase(order.m_adapter);
+    return OrderOutcome::kAlreadyHolds;
+  }
+  if (is_adapter) {
+    // The platform's adapters come within milliseconds; requests that are
+    // earlier get "not run".
+    held->second.m_adapters.insert(order.m_adapter);
+    return OrderOutcome::kStarted;
+  }
+  m_is_busy = true;
+  if (order.m_is_load) {
+    m_models[order.m_model].m_is_loading = true;
+    LoadLater(order.m_model, is_from_store ? kStoreLoad : kDiskLoad);
+    return OrderOutcome::kStarted;
+  }
+  m_models.erase(held);
+  ++m_detached;
+  boost::fibers::fiber([this, life = m_life] {
+    net::SleepFor(kUnload);
+    if (IsThisLife(life)) {
+      m_is_busy = false;
+      (void)Report(gen::UPSTREAM_READY);
+    }
+    --m_detached;
+  }).detach();
+  return OrderOutcome::kStarted;
+}
+
+/** Ends a load after its time. */
+void FakeRunner::LoadLater(const std::string &model, milliseconds time) {
+  ++m_detached;
+  boost::fibers::fiber([this, model, time, life = m_life] {
+    net::SleepFor(time);
+    if (IsThisLife(life)) {
+      m_is_busy = false;
+      m_models[model].m_is_loading = false;
+      m_on_disk.insert(model);
+      (void)Report(m_is_leaving ? gen::UPSTREAM_LEAVING : gen::UPSTREAM_READY);
+    }
+    --m_detached;
+  }).detach();
+}
+
+void FakeRunner::HandleRequest(const net::HttpRequest &request,
+                               net::HttpExchange &exchange) {
+  ForwardedRequest forwarded = m_protocol->m_decode_forwarded(request);
+  bool is_other = !forwarded.m_expected_upstream.empty() &&
+                  forwarded.m_expected_upstream != m_id;
+  bool is_missing = !forwarded.m_model.empty() && !Holds(forwarded.m_model);
+  if (is_other || is_missing || m_running >= kSlots) {
+    (void)exchange.Respond(m_protocol->m_make_not_run(forwarded.m_id, m_id,
+                                                      is_other || is_missing));
+    return;
+  }
+  m_monitor->ReachUpstream(m_id, forwarded.m_id);
+  std::string signature =
+      fmt::format("{}.{}", m_id, m_monitor->m_counts["runs"]);
+  if (!m_monitor->RunRequest(m_options.m_service, signature, forwarded,
+                             request)) {
+    return;
+  }
+  std::uint64_t life = m_life;
+  ++m_running;
+  net::SleepFor(kPlainWork * (m_misbehavior.m_is_slow ? kSlowFactor : 1));
+  if (!IsThisLife(life) || m_misbehavior.m_loses_answers) {
+    exchange.Abort();
+  } else if (forwarded.m_model.empty()) {
+    AnswerPlain(forwarded, signature, exchange);
+  } else {
+    AnswerStream(forwarded, signature, exchange);
+  }
+  --m_running;
+}
+
+void FakeRunner::AnswerPlain(const ForwardedRequest &forwarded,
+                             const std::string &signature,
+                             net::HttpExchange &exchange) {
+  net::HttpResponse response;
+  std::string owner =
+      m_misbehavior.m_garbles_answers ? "nobody" : forwarded.m_id;
+  response.m_headers = m_protocol->m_make_answer_headers(owner, signature);
+  response.m_body = Monitor::MakeAnswer(owner, signature);
+  (void)exchange.Respond(response);
+}
+
+void FakeRunner::AnswerStream(const ForwardedRequest &forwarded,
+                              const std::string &signature,
+                              net::HttpExchange &exchange) {
+  std::uint64_t life = m_life;
+  net::HttpHeaders headers =
+      m_protocol->m_make_answer_headers(forwarded.m_id, signature);
+  headers.Add("Content-Type", "text/event-stream");
+  if (!exchange.BeginStream(200, headers)) return;
+  auto first = static_cast<int>(forwarded.m_last_event.value_or(0)) + 1;
+  for (int event = first; event <= Monitor::kEvents; ++event) {
+    if (!IsThisLife(life) || m_misbehavior.m_loses_answers ||
+        m_misbehavior.m_garbles_answers) {
+      exchange.Abort();
+      return;
+    }
+    std::string text = Monitor::MakeEvent(forwarded.m_id, event);
+    if (!exchange.WriteStream(text)) return;
+    net::SleepFor(kEventGap * (m_misbehavior.m_is_slow ? kSlowFactor : 1));
+  }
+  (void)exchange.EndStream();
+}
+
+}  // namespace wasabiwind::soak
--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,360 @@
+/** @file world.cpp Programs, links and upstreams of one soak. */
+
+#include "soak/world.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <boost/fiber/fiber.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "base/log_func.h"
+#include "net/fiber_scheduler.h"
+#include "soak/plan_func.h"
+
+namespace wasabiwind::soak {
+
+namespace {
+
+namespace fs = std::filesystem;
+using base::Clock;
+using base::LogEvent;
+using base::LogLevel;
+using base::milliseconds;
+using base::TimePoint;
+
+constexpr std::uint16_t kOperatorsPort = 18'144;
+constexpr std::uint16_t kCallersPort = 18'149;
+constexpr std::uint16_t kDirectoryPort = 18'150;
+constexpr std::uint16_t kReadyPort = 18'151;
+constexpr std::uint16_t kRunnerPort = 18'200;        ///< of its link
+constexpr std::uint16_t kRunnerListenPort = 18'210;  ///< of its server
+constexpr std::uint16_t kMessagePort = 18'380;       ///< of the link
+constexpr std::uint16_t kAdminPort = 18'381;
+constexpr std::uint16_t kMessageListenPort = 18'390;  ///< of the program
+constexpr int kFirstEntryIp = 50;
+constexpr int kFirstRunnerIp = 100;
+constexpr int kDomains = 3;
+
+constexpr double kModelMb = 90;
+constexpr double kWeightMb = 300;
+constexpr std::uint32_t kAdapterSlots = 2;
+constexpr std::uint32_t kAdapters = 3;
+constexpr double kLoadsPerSecond = 3;
+constexpr int kFirstModelsPerRunner = 3;
+constexpr milliseconds kGrace{6'000};
+
+constexpr milliseconds kStartLimit{15'000};
+/** After the plan: until hosts are whole, then requests are counted. */
+constexpr milliseconds kSettle{7'000};
+constexpr milliseconds kMeasured{3'000};
+constexpr double kLeastServed = 0.9;
+constexpr milliseconds kPutLimit{4'000};
+constexpr milliseconds kReadLimit{200};
+constexpr milliseconds kWatchPeriod{20};
+/** A longer stall of this program makes its own times useless. */
+constexpr milliseconds kMostStall{200};
+
+SoakBounds MakeBounds() {
+  SoakBounds bounds;
+  bounds.m_loads_per_s = kLoadsPerSecond;
+  bounds.m_weight_mb = kWeightMb;
+  bounds.m_adapter_slots = kAdapterSlots;
+  return bounds;
+}
+
+std::string GetDomain(int number) {
+  return fmt::format("domain-{}", number % kDomains);
+}
+
+std::string GetRegion(int number) {
+  return fmt::format("region-{}", number % kDomains);
+}
+
+}  // namespace
+
+World::World(SoakOptions options, const SoakProtocol *protocol)
+    : m_options(std::move(options)),
+      m_protocol(protocol),
+      m_monitor(MakeBounds(), m_options.m_entries) {
+  for (int i = 0; i < m_options.m_models; ++i) {
+    m_models.push_back(fmt::format("m{}", i));
+  }
+  MakeHosts();
+  MakeRunners();
+  m_operator = std::make_unique<Operator>(
+      m_options.m_plan.m_seed, &m_addresses, m_protocol, &m_monitor,
+      MakeSoakTable(m_models, kModelMb, kWeightMb, kAdapterSlots, kAdapters,
+                    kLoadsPerSecond));
+}
+
+/** Addresses of this process alone, so that two soaks don't meet. */
+std::string World::MakeIp(int number) const {
+  constexpr int kNetworks = 200;
+  int process = ::getpid();
+  return fmt::format("127.{}.{}.{}", 30 + process % 30,
+                     process / 30 % kNetworks, number);
+}
+
+void World::MakeHosts() {
+  int total = m_options.m_entries + m_options.m_controls;
+  for (int i = 0; i < total; ++i) {
+    auto host = std::make_unique<Host>();
+    host->m_is_entry = i >= m_options.m_controls;
+    host->m_number = host->m_is_entry ? i - m_options.m_controls : i;
+    host->m_ip = MakeIp(host->m_is_entry ? kFirstEntryIp + host->m_number
+                                         : 1 + host->m_number);
+    host->m_name = fmt::format("{}-{}", host->m_is_entry ? "entry" : "control",
+                               host->m_number);
+    host->m_link = std::make_unique<LinkProxy>(
+        net::Endpoint{host->m_ip, kMessagePort},
+        net::Endpoint{host->m_ip, kMessageListenPort});
+    if (host->m_is_entry) {
+      m_addresses.m_callers.push_back({host->m_ip, kCallersPort});
+      m_addresses.m_directories.push_back({host->m_ip, kDirectoryPort});
+      m_entries.push_back(std::move(host));
+    } else {
+      m_addresses.m_control.push_back({host->m_ip, kOperatorsPort});
+      m_controls.push_back(std::move(host));
+    }
+  }
+}
+
+void World::MakeRunners() {
+  int desks = static_cast<int>(Monitor::kMovingServices);
+  for (int i = 0; i < m_options.m_runners + desks; ++i) {
+    FakeRunnerOptions options;
+    bool is_desk = i < desks;
+    options.m_service = is_desk ? fmt::format("desk-{}", i) : "engines";
+    options.m_name = fmt::format("u{}", i);
+    options.m_domain = GetDomain(i);
+    std::string ip = MakeIp(kFirstRunnerIp + i);
+    options.m_listen = {ip, kRunnerListenPort};
+    options.m_published = {ip, kRunnerPort};
+    options.m_control = m_addresses.m_control;
+    options.m_model_mb = kModelMb;
+    options.m_seed = m_options.m_plan.m_seed + static_cast<std::uint64_t>(i);
+    int first = (i - desks) * kFirstModelsPerRunner;
+    for (int k = 0; !is_desk && k < kFirstModelsPerRunner; ++k) {
+      options.m_first_models.push_back(
+          m_models[static_cast<std::size_t>(first + k) % m_models.size()]);
+    }
+    m_runners.push_back(std::make_unique<FakeRunner>(std::move(options),
+                                                     m_protocol, &m_monitor));
+  }
+}
+
+void World::WriteSettings(const Host &host, bool is_first_start) const {
+  std::string hosts;
+  for (std::size_t i = 0; i < m_controls.size(); ++i) {
+    std::size_t number =
+        (i + static_cast<std::size_t>(host.m_seeds_shift)) % m_controls.size();
+    // A shifted list leaves one control host out.
+    if (host.m_seeds_shift != 0 && i + 1 == m_controls.size()) break;
+    if (!hosts.empty()) hosts += ",";
+    hosts += m_addresses.m_control[number].ToString();
+  }
+  std::string domains;
+  for (int i = 0; i < kDomains; ++i) {
+    domains +=
+        fmt::format("{}{}={}", i == 0 ? "" : ",", GetDomain(i), GetRegion(i));
+  }
+  fs::path folder = m_options.m_folder;
+  fs::path path = folder / (host.m_name + ".ini");
+  fs::path draft = folder / (host.m_name + ".draft");
+  std::ofstream file(draft);
+  file << "[node]\nname = " << host.m_name
+       << "\nregion = " << GetRegion(host.m_number)
+       << "\ndomain = " << GetDomain(host.m_number)
+       << "\n[admin]\nlisten = " << host.m_ip << ":" << kAdminPort
+       << "\n[network]\nmessage_address = " << host.m_ip << ":" << kMessagePort
+       << "\nmessage_listen = " << host.m_ip << ":" << kMessageListenPort
+       << "\nmessage_port = " << kMessagePort << "\ncontrol_hosts = " << hosts
+       << "\ndomains = " << domains
+       << "\n[bounds]\nheartbeat_ms = 1000ms\ngrace_ms = " << kGrace.count()
+       << "ms\n";
+  if (host.m_is_entry) {
+    file << "[callers]\nlisten = " << host.m_ip << ":" << kCallersPort
+         << "\ndirectory = " << host.m_ip << ":" << kDirectoryPort
+         << "\nready = " << host.m_ip << ":" << kReadyPort << "\n";
+  } else {
+    file << "[group]\nlisten = " << host.m_ip << ":" << kOperatorsPort
+         << "\ndata_folder = " << (folder / (host.m_name + ".data")).string()
+         << "\nis_first_start = " << (is_first_start ? "true" : "false")
+         << "\n";
+  }
+  file.close();
+  fs::rename(draft, path);
+}
+
+base::Result<void> World::Start(Host *host, bool is_first_start) {
+  WriteSettings(*host, is_first_start);
+  fs::path folder = m_options.m_folder;
+  if (host->m_is_entry) m_monitor.StartEntry(host->m_number);
+  base::Result<void> started = host->m_process.Start(
+      host->m_is_entry ? m_options.m_entry_program
+                       : m_options.m_control_program,
+      {"--config=" + (folder / (host->m_name + ".ini")).string()},
+      folder / (host->m_name + ".log"));
+  host->m_is_down = !started;
+  return started;
+}
+
+World::Host *World::GetEntry(std::uint32_t target) {
+  return m_entries[target % m_entries.size()].get();
+}
+
+World::Host *World::GetControl(std::uint32_t target) {
+  return m_controls[target % m_controls.size()].get();
+}
+
+FakeRunner *World::GetRunner(std::uint32_t target) {
+  return m_runners[target % m_runners.size()].get();
+}
+
+base::Result<void> World::Run() {
+  for (auto *hosts : {&m_controls, &m_entries}) {
+    for (const auto &host : *hosts) {
+      if (auto done = host->m_link->Listen(); !done) return done;
+    }
+  }
+  for (const auto &runner : m_runners) {
+    if (auto done = runner->Listen(); !done) return done;
+  }
+  std::vector<boost::fibers::fiber> fibers;
+  for (auto *hosts : {&m_controls, &m_entries}) {
+    for (const auto &host : *hosts) {
+      if (auto done = Start(host.get(), true); !done) return done;
+      fibers.emplace_back([&host] { host->m_link->Serve(); });
+    }
+  }
+  for (const auto &runner : m_runners) {
+    fibers.emplace_back([&runner] { runner->Run(); });
+  }
+  fibers.emplace_back([this] { WatchProcesses(); });
+  fibers.emplace_back([this] { WatchOwnPace(); });
+  if (!m_operator->Put(Clock::now() + kStartLimit)) {
+    m_monitor.Break("recovery", "the first table wasn't accepted");
+  }
+  TimePoint start = Clock::now();
+  TimePoint end = start + m_options.m_plan.m_duration + kSettle + kMeasured;
+  std::vector<boost::fibers::fiber> callers;
+  Tally tally;
+  std::vector<std::unique_ptr<Caller>> players;
+  for (int i = 0; i < m_options.m_callers; ++i) {
+    CallerOptions options;
+    options.m_number = i;
+    options.m_seed =
+        m_options.m_plan.m_seed * 1'000 + static_cast<std::uint64_t>(i);
+    options.m_region = GetRegion(i);
+    options.m_domain = GetDomain(i);
+    options.m_models = m_models;
+    players.push_back(std::make_unique<Caller>(std::move(options), &m_addresses,
+                                               m_protocol, &m_monitor));
+    callers.emplace_back(
+        [&players, i, end] { players[static_cast<std::size_t>(i)]->Run(end); });
+  }
+  boost::fibers::fiber changes([this, start] { RunChanges(start); });
+  RunFaults(start);
+  while (m_detached > 0) net::SleepFor(kWatchPeriod);
+  net::SleepFor(std::max<base::Duration>(base::Duration(0),
+                                         end - kMeasured - Clock::now()));
+  for (const auto &player : players) player->m_tally = &tally;
+  for (boost::fibers::fiber &caller : callers) caller.join();
+  changes.join();
+  if (tally.m_served < kLeastServed * tally.m_sent || tally.m_sent == 0) {
+    m_monitor.Break("recovery",
+                    fmt::format("{} of {} requests were served after all "
+                                "faults",
+                                tally.m_served, tally.m_sent));
+  }
+  CheckRecovery();
+  StopAll();
+  for (boost::fibers::fiber &fiber : fibers) fiber.join();
+  return {};
+}
+
+void World::CheckRecovery() {
+  if (!m_operator->Read(Clock::now() + kStartLimit)) {
+    m_monitor.Break("nothing lost", "no host answers a read at the end");
+  }
+  if (!m_operator->Put(Clock::now() + kStartLimit)) {
+    m_monitor.Break("recovery", "no table is accepted at the end");
+  }
+}
+
+void World::RunChanges(TimePoint start) {
+  for (const PlannedChange &change : m_options.m_plan.m_changes) {
+    TimePoint at = start + change.m_at;
+    if (Clock::now() < at) net::SleepFor(at - Clock::now());
+    if (change.m_is_invalid) {
+      m_operator->PutInvalid();
+      continue;
+    }
+    boost::fibers::fiber rival([this, &change] {
+      if (change.m_is_race) m_operator->Put(Clock::now() + kPutLimit);
+    });
+    m_operator->Put(Clock::now() + kPutLimit);
+    rival.join();
+    m_operator->Read(Clock::now() + kReadLimit);
+  }
+}
+
+/** Reports programs that end though no fault ended them. */
+void World::WatchProcesses() {
+  while (!m_is_ending) {
+    for (auto *hosts : {&m_controls, &m_entries}) {
+      for (const auto &host : *hosts) {
+        if (host->m_is_down || host->m_process.IsRunning()) continue;
+        std::optional<scenario::ExitStatus> status = host->m_process.Poll();
+        m_monitor.Break("programs run on",
+                        host->m_name + " ended with " +
+                            (status ? status->ToString() : "no status"));
+        if (auto done = Start(host.get(), false); !done) return;
+      }
+    }
+    net::SleepFor(kWatchPeriod);
+  }
+}
+
+/** Excludes times at which this program itself didn't get to run. */
+void World::WatchOwnPace() {
+  while (!m_is_ending) {
+    TimePoint before = Clock::now();
+    net::SleepFor(kWatchPeriod);
+    TimePoint now = Clock::now();
+    if (now - before < kWatchPeriod + kMostStall) continue;
+    ++m_monitor.m_counts["own_stalls"];
+    LogEvent(LogLevel::kWarn, "soak_stalled",
+             {{"took_ms", base::ToMilliseconds(now - before)}});
+    m_monitor.Disturb(-1, now);
+    m_monitor.DisturbUpstreams(now);
+  }
+}
+
+void World::StopAll() {
+  m_is_ending = true;
+  for (auto *hosts : {&m_entries, &m_controls}) {
+    for (const auto &host : *hosts) host->m_process.Signal(SIGTERM);
+  }
+  TimePoint limit = Clock::now() + kGrace + milliseconds(2'000);
+  for (auto *hosts : {&m_entries, &m_controls}) {
+    for (const auto &host : *hosts) {
+      while (host->m_process.IsRunning() && Clock::now() < limit) {
+        net::SleepFor(kWatchPeriod);
+      }
+      std::optional<scenario::ExitStatus> status = host->m_process.Poll();
+      if (!status || status->m_code != 0 || status->m_signal != 0) {
+        m_monitor.Break("planned stops",
+                        host->m_name + " didn't end in time: " +
+                            (status ? status->ToString() : "still runs"));
+      }
+      host->m_link->Stop();
+    }
+  }
+  for (const auto &runner : m_runners) runner->Stop();
+}
+
+}  // namespace wasabiwind::soak
--- /dev/null
+++ b/tests/soak_test.cpp
@@ -0,0 +1,291 @@
+/** @file soak_test.cpp The soak's plan, and that its checks catch what breaks
+ * each promise. */
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "platform/control_protocol_func.h"
+#include "platform/soak_protocol_func.h"
+#include "soak/client.h"
+#include "soak/monitor.h"
+#include "soak/plan_func.h"
+
+namespace wasabiwind::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *kSignature = "u1.1";
+
+TEST(SoakPlanTest, SameSeedGivesTheSamePlan) {
+  SoakPlan first = MakePlan(7, milliseconds(60'000));
+  SoakPlan again = MakePlan(7, milliseconds(60'000));
+  ASSERT_EQ(first.m_faults.size(), again.m_faults.size());
+  for (std::size_t i = 0; i < first.m_faults.size(); ++i) {
+    EXPECT_EQ(first.m_faults[i].m_at, again.m_faults[i].m_at);
+    EXPECT_EQ(first.m_faults[i].m_kind, again.m_faults[i].m_kind);
+    EXPECT_EQ(first.m_faults[i].m_target, again.m_faults[i].m_target);
+  }
+  EXPECT_NE(first.m_faults.size(),
+            MakePlan(8, milliseconds(60'000)).m_faults.size());
+}
+
+// A second fault beside a lost disk would exceed what the group bears.
+TEST(SoakPlanTest, NothingElseHitsControlWhileADiskIsReplaced) {
+  constexpr milliseconds kGuard{6'000};
+  int wipes = 0;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    milliseconds guarded(0);
+    for (const PlannedFault &fault :
+         MakePlan(seed, milliseconds(60'000)).m_faults) {
+      if (!HitsControl(fault.m_kind)) continue;
+      EXPECT_GE(fault.m_at, guarded) << "seed " << seed;
+      if (fault.m_kind != FaultKind::kWipeControl) continue;
+      ++wipes;
+      guarded = fault.m_at + fault.m_duration + kGuard;
+    }
+  }
+  EXPECT_GT(wipes, 0);
+}
+
+TEST(SoakPlanTest, EveryFaultComes) {
+  std::set<FaultKind> seen;
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    for (const PlannedFault &fault :
+         MakePlan(seed, milliseconds(32'000)).m_faults) {
+      seen.insert(fault.m_kind);
+    }
+  }
+  EXPECT_EQ(seen.size(), static_cast<std::size_t>(FaultKind::kEnd));
+}
+
+/** A monitor with short bounds and one entry host. */
+class MonitorTest : public testing::Test {
+ protected:
+  static SoakBounds MakeBounds() {
+    SoakBounds bounds;
+    bounds.m_contact = milliseconds(20);
+    bounds.m_drain = milliseconds(10);
+    bounds.m_apply = milliseconds(10);
+    bounds.m_rollback = milliseconds(10);
+    bounds.m_weight_mb = 200;
+    bounds.m_adapter_slots = 1;
+    return bounds;
+  }
+
+  void Send(const std::string &id, const std::string &path,
+            bool is_repeatable) {
+    RequestRecord record;
+    record.m_path = path;
+    record.m_body = "body";
+    record.m_is_repeatable = is_repeatable;
+    record.m_sent_at = base::Clock::now();
+    m_monitor.SendRequest(id, record);
+  }
+
+  void RunAt(const std::string &id, const std::string &path,
+             const std::string &service, const std::string &body = "body") {
+    net::HttpRequest request;
+    request.m_target = path;
+    request.m_body = body;
+    ForwardedRequest forwarded;
+    forwarded.m_id = id;
+    m_monitor.RunRequest(service, kSignature, forwarded, request);
+  }
+
+  void Answer(const std::string &id, int status, const std::string &body,
+              const std::string &signature) {
+    net::HttpResponse response;
+    response.m_status = status;
+    response.m_body = body;
+    m_monitor.EndRequest(id, response, signature);
+  }
+
+  fleet_control::RunnerOrder MakeOrder(const std::string &holder,
+                                       std::uint64_t fence) {
+    fleet_control::RunnerOrder order;
+    order.m_holder = holder;
+    order.m_fence = fence;
+    return order;
+  }
+
+  /** @return the promises that were broken, without details. */
+  std::string Broken() const {
+    std::string all;
+    for (const std::string &violation : m_monitor.GetViolations()) {
+      all += violation.substr(0, violation.find(':')) + ";";
+    }
+    return all;
+  }
+
+  static void Pause(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+
+  /** Longer than all bounds and margins. */
+  static constexpr int kLong = 300;
+
+  Monitor m_monitor{MakeBounds(), 1};
+};
+
+TEST_F(MonitorTest, AcceptsARequestThatRanOnce) {
+  Send("r", "/once/", false);
+  RunAt("r", "/once/", "desk-0");
+  Answer("r", 200, Monitor::MakeAnswer("r", kSignature), kSignature);
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(MonitorTest, CatchesASecondRun) {
+  Send("r", "/once/", false);
+  RunAt("r", "/once/", "desk-0");
+  RunAt("r", "/once/", "desk-0");
+  EXPECT_EQ(Broken(), "at most once;");
+}
+
+TEST_F(MonitorTest, CatchesARefusalOfWhatRan) {
+  Send("r", "/once/", false);
+  RunAt("r", "/once/", "desk-0");
+  Answer("r", 503, "", "");
+  EXPECT_EQ(Broken(), "true refusals;");
+}
+
+TEST_F(MonitorTest, CatchesARunAfterARefusal) {
+  Send("r", "/once/", false);
+  Answer("r", 503, "", "");
+  RunAt("r", "/once/", "desk-0");
+  EXPECT_EQ(Broken(), "true refusals;");
+}
+
+TEST_F(MonitorTest, CatchesAnAnswerOfAnotherRequest) {
+  Send("r", "/safe/", true);
+  RunAt("r", "/safe/", "desk-0");
+  Answer("r", 200, Monitor::MakeAnswer("q", kSignature), kSignature);
+  Answer("r", 200, Monitor::MakeAnswer("r", "u9.9"), "u9.9");
+  EXPECT_EQ(Broken(), "own answers;own answers;");
+}
+
+TEST_F(MonitorTest, CatchesAStreamThatLacksAnEvent) {
+  RequestRecord record;
+  record.m_path = "/flow/";
+  record.m_model = "m0";
+  record.m_is_stream = true;
+  m_monitor.SendRequest("r", record);
+  net::HttpRequest request;
+  request.m_target = "/flow/";
+  ForwardedRequest forwarded;
+  forwarded.m_id = "r";
+  forwarded.m_model = "m0";
+  m_monitor.RunRequest("engines", kSignature, forwarded, request);
+  std::string body;
+  for (int event = 1; event <= Monitor::kEvents; ++event) {
+    if (event != 3) body += Monitor::MakeEvent("r", event);
+  }
+  Answer("r", 200, body, kSignature);
+  EXPECT_EQ(Broken(), "own answers;");
+}
+
+TEST_F(MonitorTest, CatchesRequestsThatNobodySentOrThatChanged) {
+  RunAt("r", "/safe/", "desk-0");
+  Send("q", "/safe/", true);
+  RunAt("q", "/safe/", "desk-0", "another body");
+  EXPECT_EQ(Broken(), "asked;unchanged;");
+}
+
+TEST_F(MonitorTest, CatchesAForeignService) {
+  Send("r", "/once/", false);
+  RunAt("r", "/once/", "desk-1");
+  EXPECT_EQ(Broken(), "route;");
+}
+
+TEST_F(MonitorTest, CatchesARequestAfterALeave) {
+  m_monitor.AcknowledgeLeave("u1", base::Clock::now());
+  Pause(kLong);
+  Send("r", "/once/", false);
+  m_monitor.ReachUpstream("u1", "r");
+  EXPECT_EQ(Broken(), "leave;");
+}
+
+TEST_F(MonitorTest, DoesNotJudgeTimesOfADisturbedHost) {
+  m_monitor.AcknowledgeLeave("u1", base::Clock::now());
+  m_monitor.Disturb(0, base::Clock::now());
+  Pause(kLong);
+  m_monitor.Disturb(0, base::Clock::now());
+  Send("r", "/once/", false);
+  m_monitor.ReachUpstream("u1", "r");
+  EXPECT_EQ(Broken(), "");
+}
+
+TEST_F(MonitorTest, CatchesATableThatIsNotInForce) {
+  m_monitor.SendTable(1, "one");
+  m_monitor.AcknowledgeTable(1);
+  m_monitor.SendTable(2, "two");
+  m_monitor.AcknowledgeTable(2);
+  Pause(kLong);
+  Send("r", "/move/", true);
+  RunAt("r", "/move/", "desk-1");
+  EXPECT_EQ(Broken(), "in force;");
+}
+
+TEST_F(MonitorTest, CatchesAHostThatGoesBack) {
+  m_monitor.SendTable(1, "one");
+  m_monitor.SendTable(2, "two");
+  Send("r", "/move/", true);
+  RunAt("r", "/move/", "desk-2");
+  Pause(kLong);
+  Send("q", "/move/", true);
+  RunAt("q", "/move/", "desk-1");
+  EXPECT_EQ(Broken(), "never back;");
+}
+
+TEST_F(MonitorTest, CatchesALostTable) {
+  m_monitor.SendTable(1, "one");
+  m_monitor.SendTable(2, "two");
+  m_monitor.AcknowledgeTable(2);
+  m_monitor.ReadTable("one", 2);
+  m_monitor.ReadTable("three", 0);
+  EXPECT_EQ(Broken(), "nothing lost;nothing lost;");
+}
+
+TEST_F(MonitorTest, CatchesTwoHoldersOfOrders) {
+  Monitor::RunnerLoad load{90, 0};
+  m_monitor.AcceptOrder("u1", MakeOrder("a", 3), load, false);
+  m_monitor.AcceptOrder("u1", MakeOrder("b", 3), load, false);
+  EXPECT_EQ(Broken(), "one holder;");
+  m_monitor.AcceptOrder("u1", MakeOrder("c", 4), load, false);
+  EXPECT_EQ(Broken(), "one holder;one holder;");
+}
+
+TEST_F(MonitorTest, CatchesOvercommittedMemory) {
+  m_monitor.AcceptOrder("u1", MakeOrder("a", 1), {270, 0}, false);
+  m_monitor.AcceptOrder("u1", MakeOrder("a", 1), {90, 2}, false);
+  EXPECT_EQ(Broken(), "memory;memory;");
+}
+
+TEST_F(MonitorTest, CatchesTooManyLoadsFromTheStore) {
+  for (int i = 0; i < 25; ++i) {
+    m_monitor.AcceptOrder("u1", MakeOrder("a", 1), {90, 0}, true);
+  }
+  EXPECT_EQ(Broken().substr(0, 6), "store;");
+}
+
+TEST_F(MonitorTest, CatchesARequestThatPlannedWorkCuts) {
+  Send("r", "/once/", false);
+  RunAt("r", "/once/", "desk-0");
+  m_monitor.CutRequest("r");
+  EXPECT_EQ(Broken(), "planned work cuts nothing;");
+}
+
+// What the soak's operator sends must be what control hosts read.
+TEST(SoakProtocolTest, TablesComeOutAsTheyWentIn) {
+  SoakProtocol soak = platform::MakeSoakProtocol();
+  gen::RouteTable table = MakeSoakTable({"m0", "m1"}, 90, 300, 2, 3, 3);
+  table.set_version(5);
+  net::HttpRequest put = soak.m_encode_put(soak.m_encode_table(table));
+  auto call = platform::MakeControlProtocol().m_decode_call(put);
+  ASSERT_TRUE(call) << call.error().ToString();
+  const auto *read = std::get_if<fleet_control::PutTableCall>(&*call);
+  ASSERT_NE(read, nullptr);
+  EXPECT_EQ(read->m_table.DebugString(), table.DebugString());
+}
+
+}  // namespace
+}  // namespace wasabiwind::soak
