Count a prompt as kept by a runner once it was read

A book counted a prompt as kept when a request with it was sent; further requests with the same prompt then seemed cheap at that runner and were read there in full, side by side.

--- a/src/gateway/load_book.cpp
+++ b/src/gateway/load_book.cpp
@@ -14,6 +14,15 @@
 constexpr base::milliseconds kBookLifetime{60'000};
 constexpr std::size_t kMostRequests = 4'096;  ///< of one runner
 
+template <typename Tokens>
+RequestFacts MakeParts(const Tokens &part_tokens) {
+  RequestFacts facts;
+  for (std::uint32_t tokens : part_tokens) {
+    facts.m_parts.push_back(PromptPart{"", tokens});
+  }
+  return facts;
+}
+
 void EndRequest(RunnerLoadBook *book, const std::string &request) {
   auto found = book->m_requests.find(request);
   if (found == book->m_requests.end()) return;
@@ -30,22 +39,31 @@
 }
 
 void BeginRequest(RunnerLoadBook *book, const gen::LoadUpdate &update,
-                  std::uint64_t capacity, base::TimePoint now) {
+                  base::TimePoint now) {
   EndRequest(book, update.request());
   if (book->m_requests.size() >= kMostRequests) return;
   BookedRequest request;
   request.m_unread_tokens = update.unread_tokens();
   request.m_ends_at = now + base::milliseconds(update.patience_ms());
+  request.m_chain_keys.assign(update.chain_keys().begin(),
+                              update.chain_keys().end());
+  request.m_part_tokens.assign(update.part_tokens().begin(),
+                               update.part_tokens().end());
   book->m_unread_tokens += request.m_unread_tokens;
-  book->m_requests.emplace(update.request(), request);
-  RequestFacts facts;
-  for (std::uint32_t tokens : update.part_tokens()) {
-    facts.m_parts.push_back(PromptPart{"", tokens});
-  }
-  std::vector<std::uint64_t> keys(update.chain_keys().begin(),
-                                  update.chain_keys().end());
-  if (keys.size() != facts.m_parts.size()) return;
-  RememberPrompt(&book->m_prefixes, facts, keys, capacity);
+  book->m_requests.emplace(update.request(), std::move(request));
+}
+
+/** A prompt is kept once it has been read, and not before. */
+void ReadRequest(RunnerLoadBook *book, const std::string &id,
+                 std::uint64_t capacity) {
+  auto found = book->m_requests.find(id);
+  if (found == book->m_requests.end()) return;
+  BookedRequest &request = found->second;
+  book->m_unread_tokens -= request.m_unread_tokens;
+  request.m_unread_tokens = 0;
+  if (request.m_chain_keys.size() != request.m_part_tokens.size()) return;
+  RememberPrompt(&book->m_prefixes, MakeParts(request.m_part_tokens),
+                 request.m_chain_keys, capacity);
 }
 
 /** @return how well an entry host suits as the keeper of a runner's book. */
@@ -67,14 +85,11 @@
   }
   book.m_updated_at = now;
   if (update.event() == gen::LOAD_SENT) {
-    BeginRequest(&book, update, capacity, now);
+    BeginRequest(&book, update, now);
   } else if (update.event() == gen::LOAD_OVER) {
     EndRequest(&book, update.request());
   } else {
-    auto found = book.m_requests.find(update.request());
-    if (found == book.m_requests.end()) return;
-    book.m_unread_tokens -= found->second.m_unread_tokens;
-    found->second.m_unread_tokens = 0;
+    ReadRequest(&book, update.request(), capacity);
   }
 }
 
@@ -89,10 +104,7 @@
   ForgetEndedRequests(&book, now);
   answer.set_in_flight(static_cast<std::uint32_t>(book.m_requests.size()));
   answer.set_unread_tokens(book.m_unread_tokens);
-  RequestFacts facts;
-  for (std::uint32_t tokens : query.part_tokens()) {
-    facts.m_parts.push_back(PromptPart{"", tokens});
-  }
+  RequestFacts facts = MakeParts(query.part_tokens());
   std::vector<std::uint64_t> keys(query.chain_keys().begin(),
                                   query.chain_keys().end());
   if (keys.size() == facts.m_parts.size()) {
--- a/src/gateway/load_book_func.h
+++ b/src/gateway/load_book_func.h
@@ -24,8 +24,10 @@
 namespace wasabiwind::gateway {
 
 struct BookedRequest {
-  std::uint32_t m_unread_tokens = 0;  ///< 0 once its first event came
-  base::TimePoint m_ends_at;          ///< by then its caller has left
+  std::uint32_t m_unread_tokens = 0;         ///< 0 once its first event came
+  base::TimePoint m_ends_at;                 ///< by then its caller has left
+  std::vector<std::uint64_t> m_chain_keys;   ///< of its prompt
+  std::vector<std::uint32_t> m_part_tokens;  ///< of the same parts
 };
 
 struct RunnerLoadBook {
--- a/tests/gateway_choose_test.cpp
+++ b/tests/gateway_choose_test.cpp
@@ -265,6 +265,33 @@
   EXPECT_EQ(answer.unread_tokens(), 0u);
 }
 
+// Seven requests with one shared prompt went to a runner at once, because the
+// prompt counted as kept before the first of them was read; all read it, and
+// streams there paused. (spillsack-core-grown quiet-1.)
+TEST(LoadBookTest, PromptIsKeptOnceItWasRead) {
+  LoadBooks books;
+  gen::LoadUpdate update;
+  update.set_upstream("i-1");
+  update.set_born_ms(5);
+  update.set_request("a");
+  update.set_event(gen::LOAD_SENT);
+  update.set_unread_tokens(900);
+  update.set_patience_ms(1'000);
+  gen::LoadQuery query;
+  query.set_upstream("i-1");
+  for (std::uint64_t key : {11u, 12u}) {
+    update.add_chain_keys(key);
+    update.add_part_tokens(450);
+    query.add_chain_keys(key);
+    query.add_part_tokens(450);
+  }
+  RecordLoad(&books, update, 10'000, At(0));
+  EXPECT_EQ(MakeLoadAnswer(&books, query, At(1)).kept_tokens(), 0u);
+  update.set_event(gen::LOAD_READ);
+  RecordLoad(&books, update, 10'000, At(2));
+  EXPECT_EQ(MakeLoadAnswer(&books, query, At(3)).kept_tokens(), 900u);
+}
+
 TEST(LoadBookTest, LaterStartOfARunnerBeginsAnEmptyBook) {
   LoadBooks books;
   gen::LoadUpdate update;
