--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -19,6 +19,7 @@
 #include "control/partition_filter.h"
 #include "control/replica_node.h"
 #include "control/services.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/program_func.h"
 #include "replica/log_func.h"
@@ -36,7 +37,6 @@
 using base::LogEvent;
 using base::LogLevel;
 
-constexpr std::uint32_t kEnvelopeVersion = 1;
 /** Endpoints learned from messages of hosts that aren't members yet. */
 constexpr std::size_t kMaxLearnedEndpoints = 64;
 constexpr base::milliseconds kMembersTimeout{5'000};
@@ -228,17 +228,15 @@
                                  gen::Envelope envelope) {
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
   if (!endpoint) return;
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_own_endpoint);
-  envelope.set_from_node(m_settings.node().name());
+  envelope.MergeFrom(
+      net::MakeEnvelope(m_own_endpoint, m_settings.node().name()));
   (void)m_transport->Send(*endpoint, envelope.SerializeAsString());
 }
 
 void ControlServer::Receive(const std::string &message) {
-  gen::Envelope envelope;
-  bool is_valid = envelope.ParseFromString(message) &&
-                  envelope.version() == kEnvelopeVersion &&
-                  (envelope.has_replica() || envelope.has_member());
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(message);
+  bool is_valid =
+      envelope && (envelope->has_replica() || envelope->has_member());
   if (!is_valid) {
     static prometheus::Counter &unknown =
         base::GetCounter("ww_control_messages_unknown_total",
@@ -246,16 +244,16 @@
     unknown.Increment();
     return;
   }
-  if (envelope.has_member()) {
+  if (envelope->has_member()) {
     if (m_services == nullptr) return;
-    m_services->HandleMessage(envelope.from(), envelope.member());
+    m_services->HandleMessage(envelope->from(), envelope->member());
     return;
   }
-  const std::string &host = envelope.replica().from_host();
+  const std::string &host = envelope->replica().from_host();
   bool has_room = m_learned_endpoints.contains(host) ||
                   m_learned_endpoints.size() < kMaxLearnedEndpoints;
-  if (has_room) m_learned_endpoints[host] = envelope.from();
-  m_node->Receive(std::move(*envelope.mutable_replica()));
+  if (has_room) m_learned_endpoints[host] = envelope->from();
+  m_node->Receive(std::move(*envelope->mutable_replica()));
 }
 
 base::Result<void> ControlServer::RunUntilStopSignal() {
--- a/src/entry/network_link.cpp
+++ b/src/entry/network_link.cpp
@@ -20,6 +20,7 @@
 #include "base/metrics_func.h"
 #include "config/state_func.h"
 #include "member/follower_func.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 
@@ -28,7 +29,6 @@
 namespace {
 
 /** Version of the envelope that this program speaks. */
-constexpr std::uint32_t kEnvelopeVersion = 1;
 /** A notice is repeated after these times: the first one may be dropped
  * because no connection exists yet. */
 constexpr std::array<base::milliseconds, 5> kNoticeRepeats = {
@@ -122,10 +122,8 @@
     m_bad_messages.Increment();
     return;
   }
-  gen::Envelope envelope;
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_follower.m_node.message_address());
-  envelope.set_from_node(m_follower.m_node.node());
+  gen::Envelope envelope = net::MakeEnvelope(
+      m_follower.m_node.message_address(), m_follower.m_node.node());
   *envelope.mutable_member() = std::move(message);
   m_transport.Send(*peer, envelope.SerializeAsString());
 }
@@ -138,15 +136,12 @@
 }
 
 void NetworkLink::Impl::HandleMessage(const std::string &bytes) {
-  gen::Envelope envelope;
-  bool is_valid = envelope.ParseFromString(bytes) &&
-                  envelope.version() == kEnvelopeVersion &&
-                  envelope.has_member();
-  if (!is_valid) {
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(bytes);
+  if (!envelope || !envelope->has_member()) {
     m_bad_messages.Increment();
     return;
   }
-  HandleMember(envelope.from(), envelope.member());
+  HandleMember(envelope->from(), envelope->member());
 }
 
 void NetworkLink::Impl::HandleMember(const std::string &from,
--- a/src/fleet/residency_models.cpp
+++ b/src/fleet/residency_models.cpp
@@ -34,15 +34,20 @@
          GetBlockingCost(pass, runner, load_ms);
 }
 
+/** A runner for a load. */
+struct RunnerChoice {
+  Runner *m_runner = nullptr;  ///< nullptr: none can take it now
+  double m_cost = 0;           ///< to others, in milliseconds of waiting
+};
+
 /**
  * Chooses where a model is loaded next.
  * @param requests that wait for the load
- * @param[out] cost load time and evictions, in milliseconds of waiting
  */
-Runner *ChooseRunner(Pass *pass, const TargetKey &key, std::size_t store_limit,
-                     double requests, double *cost) {
-  Runner *best = nullptr;
-  *cost = std::numeric_limits<double>::infinity();
+RunnerChoice ChooseRunner(Pass *pass, const TargetKey &key,
+                          std::size_t store_limit, double requests) {
+  RunnerChoice best;
+  double least = std::numeric_limits<double>::infinity();
   for (Runner &runner : pass->m_runners) {
     const RunnerBook &book = *runner.m_book;
     bool is_free = !book.m_intention && !book.m_in_progress &&
@@ -53,11 +58,11 @@
     bool is_blocked = GetSource(runner, key.m_model) == LoadSource::kStore &&
                       !MayLoadFromStore(*pass, *runner.m_service, store_limit);
     if (is_blocked) continue;
-    double candidate = requests * EstimateLoadMs(*pass, runner, key.m_model) +
-                       GetPlacementCost(*pass, runner, key);
-    if (candidate >= *cost) continue;
-    *cost = candidate;
-    best = &runner;
+    double cost = GetPlacementCost(*pass, runner, key);
+    double total = requests * EstimateLoadMs(*pass, runner, key.m_model) + cost;
+    if (total >= least) continue;
+    least = total;
+    best = RunnerChoice{&runner, cost};
   }
   return best;
 }
@@ -102,14 +107,14 @@
 
 /** @return whether a load ahead of requests pays. */
 bool IsWorthIt(const Pass &pass, const Candidate &candidate,
-               const Runner &runner) {
+               const RunnerChoice &choice) {
+  const Runner &runner = *choice.m_runner;
   if (candidate.m_needs_free_room) {
     return GetRoomCost(pass, runner, candidate.m_key.m_model) == 0;
   }
   bool is_from_store =
       GetSource(runner, candidate.m_key.m_model) == LoadSource::kStore;
-  double cost = GetPlacementCost(pass, runner, candidate.m_key) +
-                (is_from_store ? kStoreLoadMs : 0);
+  double cost = choice.m_cost + (is_from_store ? kStoreLoadMs : 0);
   return candidate.m_gain > kLeastGain * cost;
 }
 
@@ -119,16 +124,15 @@
   for (const RankedDemand &demand : ListWaiting(*pass, false)) {
     const ModelDemand &known = GetDemand(*pass, demand.m_key);
     if (known.m_copies > 0) continue;
-    double cost = 0;
-    Runner *runner = ChooseRunner(pass, demand.m_key,
-                                  pass->m_planner->m_settings.m_store_loads,
-                                  demand.m_waiting, &cost);
-    if (runner == nullptr) continue;
+    RunnerChoice choice = ChooseRunner(
+        pass, demand.m_key, pass->m_planner->m_settings.m_store_loads,
+        demand.m_waiting);
+    if (choice.m_runner == nullptr) continue;
     double factor = demand.m_rank <= kUrgentRank ? kUrgentFactor : 1.0;
     double gain = kWaitingRequestMs * factor * demand.m_waiting +
                   GetCopyGain(*pass, demand.m_key);
-    if (gain < GetPlacementCost(*pass, *runner, demand.m_key)) continue;
-    SetIntention(pass, runner, demand.m_key, "requests_wait", gain);
+    if (gain < choice.m_cost) continue;
+    SetIntention(pass, choice.m_runner, demand.m_key, "requests_wait", gain);
   }
 }
 
@@ -141,11 +145,12 @@
     if (candidate.m_gain >= kUrgentGainMs) limit = settings.m_urgent_loads;
     // Before traffic, no waiting request needs the store's speed.
     if (!has_demand) limit = settings.m_store_loads;
-    double cost = 0;
-    Runner *runner =
-        ChooseRunner(pass, candidate.m_key, limit, /*requests=*/1, &cost);
-    if (runner == nullptr || !IsWorthIt(*pass, candidate, *runner)) continue;
-    SetIntention(pass, runner, candidate.m_key, candidate.m_reason,
+    RunnerChoice choice =
+        ChooseRunner(pass, candidate.m_key, limit, /*requests=*/1);
+    bool is_worth_it =
+        choice.m_runner != nullptr && IsWorthIt(*pass, candidate, choice);
+    if (!is_worth_it) continue;
+    SetIntention(pass, choice.m_runner, candidate.m_key, candidate.m_reason,
                  candidate.m_gain);
     return;
   }
--- a/src/fleet_control/group.cpp
+++ b/src/fleet_control/group.cpp
@@ -8,6 +8,7 @@
 
 #include "base/log_func.h"
 #include "base/metrics_func.h"
+#include "base/text_func.h"
 #include "fleet/host_list_func.h"
 #include "net/endpoint_type.h"
 #include "net/fiber_scheduler.h"
@@ -57,7 +58,7 @@
 replica::Members Group::MakeFirstMembers() const {
   replica::Members members;
   for (const std::string &host :
-       fleet::ParseHostList(m_settings.network().control_hosts())) {
+       base::SplitList(m_settings.network().control_hosts())) {
     replica::Member member;
     member.m_identity.m_host = base::NodeId(host);
     member.m_endpoint = GetEndpoint(host);
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -13,12 +13,14 @@
 #include "base/log_func.h"
 #include "base/metrics_func.h"
 #include "base/settings_func.h"
+#include "base/text_func.h"
 #include "fleet/host_list_func.h"
 #include "fleet_control/group.h"
 #include "fleet_control/placer.h"
 #include "fleet_control/publisher.h"
 #include "fleet_control/registry.h"
 #include "fleet_control/route_machine.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 #include "net/program_func.h"
@@ -31,7 +33,6 @@
 using base::LogEvent;
 using base::LogLevel;
 
-constexpr std::uint32_t kEnvelopeVersion = 1;
 /** Large enough for a table with tens of thousands of routes. */
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
 constexpr std::size_t kMaxDocumentBytes = 16 << 20;
@@ -119,7 +120,7 @@
 void FleetControl::Reload(const gen::FleetControlSettings &settings) {
   m_follower.m_seeds.clear();
   for (const std::string &host :
-       fleet::ParseHostList(settings.network().control_hosts())) {
+       base::SplitList(settings.network().control_hosts())) {
     m_follower.m_seeds.insert(
         fleet::MakeMessageEndpoint(host, settings.network().message_port()));
   }
@@ -231,9 +232,8 @@
     LogEvent(LogLevel::kWarn, "endpoint_unreadable", {{"endpoint", to}});
     return;
   }
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_self.endpoint());
-  envelope.set_from_node(m_settings.node().name());
+  envelope.MergeFrom(
+      net::MakeEnvelope(m_self.endpoint(), m_settings.node().name()));
   (void)m_transport->Send(*endpoint, envelope.SerializeAsString());
 }
 
@@ -245,19 +245,18 @@
 }
 
 void FleetControl::Receive(const std::string &message) {
-  gen::Envelope envelope;
-  if (!envelope.ParseFromString(message) ||
-      envelope.version() != kEnvelopeVersion) {
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(message);
+  if (!envelope) {
     static prometheus::Counter &unknown =
         base::GetCounter("ww_control_messages_unknown_total",
                          "Messages of another version or for another program");
     unknown.Increment();
     return;
   }
-  if (envelope.has_replica()) {
-    m_group->Receive(std::move(*envelope.mutable_replica()));
-  } else if (envelope.has_fleet()) {
-    HandleFleet(envelope.from(), envelope.fleet());
+  if (envelope->has_replica()) {
+    m_group->Receive(std::move(*envelope->mutable_replica()));
+  } else if (envelope->has_fleet()) {
+    HandleFleet(envelope->from(), envelope->fleet());
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 
 #include "base/log_func.h"
 #include "base/metrics_func.h"
+#include "base/text_func.h"
 #include "fleet/host_list_func.h"
 #include "gateway/gateway_internal.h"
 #include "net/fiber_scheduler.h"
@@ -34,7 +35,7 @@
 
 std::map<std::string, std::string> ParseDomains(const std::string &text) {
   std::map<std::string, std::string> regions;
-  for (const std::string &item : fleet::ParseHostList(text)) {
+  for (const std::string &item : base::SplitList(text)) {
     std::size_t equals = item.find('=');
     if (equals == std::string::npos) continue;
     regions[item.substr(0, equals)] = item.substr(equals + 1);
@@ -82,7 +83,7 @@
 void Gateway::Reload(const gen::FleetEntrySettings &settings) {
   m_follower.m_seeds.clear();
   for (const std::string &host :
-       fleet::ParseHostList(settings.network().control_hosts())) {
+       base::SplitList(settings.network().control_hosts())) {
     m_follower.m_seeds.insert(
         fleet::MakeMessageEndpoint(host, settings.network().message_port()));
   }
--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -12,6 +12,7 @@
 #include "base/settings_func.h"
 #include "gateway/gateway.h"
 #include "net/datagram_socket.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 #include "net/program_func.h"
@@ -24,7 +25,6 @@
 using base::LogEvent;
 using base::LogLevel;
 
-constexpr std::uint32_t kEnvelopeVersion = 1;
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
 constexpr std::size_t kMaxCallerConnections = 3'000;
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
@@ -156,10 +156,8 @@
 
 gen::Envelope EntryProgram::MakeEnvelope(
     const gen::FleetMessage &message) const {
-  gen::Envelope envelope;
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_settings.network().message_address());
-  envelope.set_from_node(m_settings.node().name());
+  gen::Envelope envelope = net::MakeEnvelope(
+      m_settings.network().message_address(), m_settings.node().name());
   *envelope.mutable_fleet() = message;
   return envelope;
 }
@@ -187,11 +185,8 @@
 
 std::optional<gen::Envelope> EntryProgram::Open(
     const std::string &message) const {
-  gen::Envelope envelope;
-  bool is_valid = envelope.ParseFromString(message) &&
-                  envelope.version() == kEnvelopeVersion &&
-                  envelope.has_fleet();
-  if (is_valid) return envelope;
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(message);
+  if (envelope && envelope->has_fleet()) return envelope;
   LogEvent(LogLevel::kWarn, "message_unreadable", {{"bytes", message.size()}});
   return std::nullopt;
 }
--- a/src/once/claim_client.cpp
+++ b/src/once/claim_client.cpp
@@ -16,6 +16,7 @@
 
 #include "base/metrics_func.h"
 #include "base/random_func.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 
@@ -27,7 +28,6 @@
 using base::milliseconds;
 using base::TimePoint;
 
-constexpr std::uint32_t kEnvelopeVersion = 1;
 constexpr std::size_t kCommandQueue = 1'024;  ///< must be a power of two
 /** The first message to a recorder opens its connection and is dropped, so the
  * first repetition comes soon. */
@@ -196,10 +196,8 @@
 
 void ClaimClient::Impl::Send(const net::Endpoint &recorder,
                              const gen::OnceMessage &message) {
-  gen::Envelope envelope;
-  envelope.set_version(kEnvelopeVersion);
-  envelope.set_from(m_transport->LocalEndpoint().ToString());
-  envelope.set_from_node(m_options.m_node_name);
+  gen::Envelope envelope = net::MakeEnvelope(
+      m_transport->LocalEndpoint().ToString(), m_options.m_node_name);
   *envelope.mutable_once() = message;
   m_transport->Send(recorder, envelope.SerializeAsString());
 }
@@ -389,19 +387,17 @@
 }
 
 void ClaimClient::Impl::HandleMessage(const std::string &bytes) {
-  gen::Envelope envelope;
-  bool is_known = envelope.ParseFromString(bytes) &&
-                  envelope.version() == kEnvelopeVersion && envelope.has_once();
-  if (!is_known) return;
-  const gen::OnceMessage &message = envelope.once();
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(bytes);
+  if (!envelope || !envelope->has_once()) return;
+  const gen::OnceMessage &message = envelope->once();
   if (message.has_claim_reply()) {
-    HandleClaimReply(envelope.from(), message.claim_reply());
+    HandleClaimReply(envelope->from(), message.claim_reply());
   } else if (message.has_complete_reply()) {
     const gen::OnceCompleteReply &reply = message.complete_reply();
-    HandleNoteReply(&m_completes, envelope.from(), reply.claim_id(),
+    HandleNoteReply(&m_completes, envelope->from(), reply.claim_id(),
                     reply.is_stored());
   } else if (message.has_release_reply()) {
-    HandleNoteReply(&m_releases, envelope.from(),
+    HandleNoteReply(&m_releases, envelope->from(),
                     message.release_reply().claim_id(), false);
   }
 }
--- a/src/recorder/recorder_server.cpp
+++ b/src/recorder/recorder_server.cpp
@@ -14,6 +14,7 @@
 #include "base/log_func.h"
 #include "base/metrics_func.h"
 #include "base/random_func.h"
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 #include "once/record_log.h"
@@ -25,7 +26,6 @@
 using base::LogLevel;
 using base::milliseconds;
 
-constexpr std::uint32_t kEnvelopeVersion = 1;
 constexpr milliseconds kTick{100};
 /** Messages that wait for the next sync; more are dropped and repeated by
  * their senders. */
@@ -99,9 +99,8 @@
 }
 
 void RecorderServer::Impl::Receive(const std::string &bytes) {
-  gen::Envelope envelope;
-  bool is_known = envelope.ParseFromString(bytes) &&
-                  envelope.version() == kEnvelopeVersion && envelope.has_once();
+  std::optional<gen::Envelope> envelope = net::ParseEnvelope(bytes);
+  bool is_known = envelope && envelope->has_once();
   if (!is_known || m_inbox.size() >= kMaxInbox) {
     base::GetCounter("ww_recorder_dropped_total",
                      "Messages dropped by the recorder",
@@ -109,7 +108,7 @@
         .Increment();
     return;
   }
-  m_inbox.push_back(std::move(envelope));
+  m_inbox.push_back(std::move(*envelope));
   m_has_work.notify_one();
 }
 
@@ -174,10 +173,8 @@
     if (!appended) return appended;
   }
   for (const Outgoing &outgoing : m_outgoing) {
-    gen::Envelope envelope;
-    envelope.set_version(kEnvelopeVersion);
-    envelope.set_from(m_transport->LocalEndpoint().ToString());
-    envelope.set_from_node(m_options.m_node_name);
+    gen::Envelope envelope = net::MakeEnvelope(
+        m_transport->LocalEndpoint().ToString(), m_options.m_node_name);
     *envelope.mutable_once() = outgoing.m_message;
     m_transport->Send(outgoing.m_to, envelope.SerializeAsString());
   }
