Don't repeat facts that are on their way; bound the time that plans take

Cause: each push to a follower carried all facts that it hadn't acknowledged. While acknowledgements were on their way, further pushes repeated them, which made acknowledgements later still.

A follower now gets what comes after the last facts that were sent; without progress they are sent again after 250 ms, then after twice as long, up to 2 s. A plan of loads takes at most a tenth of the time, and the part of it that looks ahead of requests (each model at each runner) a twentieth.

--- a/src/fleet/residency_func.h
+++ b/src/fleet/residency_func.h
@@ -29,10 +29,13 @@
 /**
  * Plans the next orders.
  * @param term leadership of this host; part of the residencies' version
+ * @param plans_ahead whether loads ahead of requests are planned too, which
+ *        looks at each runner for each model
  */
 ResidencyActions PlanResidency(ResidencyPlanner *planner, const FleetView &view,
                                const routes::RouteIndex &routes,
-                               std::uint64_t term, base::TimePoint now);
+                               std::uint64_t term, bool plans_ahead,
+                               base::TimePoint now);
 
 /** How a runner answered an order. */
 enum class OrderOutcome : std::uint8_t {
--- a/src/fleet/residency_plan.cpp
+++ b/src/fleet/residency_plan.cpp
@@ -38,7 +38,8 @@
 
 ResidencyActions PlanResidency(ResidencyPlanner *planner, const FleetView &view,
                                const routes::RouteIndex &routes,
-                               std::uint64_t term, base::TimePoint now) {
+                               std::uint64_t term, bool plans_ahead,
+                               base::TimePoint now) {
   ResidencyActions actions;
   Pass pass;
   pass.m_planner = planner;
@@ -49,7 +50,7 @@
   CollectFleet(&pass);
   ResolveDoubts(&pass);
   PlaceWaiting(&pass);
-  PlaceAhead(&pass);
+  if (plans_ahead) PlaceAhead(&pass);
   for (Runner &runner : pass.m_runners) AdvanceIntention(&pass, &runner);
   PlaceAdapters(&pass);
   PlaceAdaptersAhead(&pass);
--- a/src/fleet_control/placer.cpp
+++ b/src/fleet_control/placer.cpp
@@ -175,8 +175,12 @@
     m_planned_term = term;
   }
   routes::RouteIndexPtr routes = m_hooks.m_get_routes();
+  bool plans_ahead = now >= m_ahead_at;
   fleet::ResidencyActions actions = fleet::PlanResidency(
-      &m_planner, m_hooks.m_get_view(), *routes, term, now);
+      &m_planner, m_hooks.m_get_view(), *routes, term, plans_ahead, now);
+  base::TimePoint end = base::Clock::now();
+  m_plan_took = end - now;
+  if (plans_ahead) m_ahead_at = end + kAheadParts * m_plan_took;
   for (gen::Residency &residency : actions.m_changed) {
     m_hooks.m_publish(std::move(residency));
   }
@@ -198,11 +202,11 @@
   }
 }
 
-base::milliseconds Placer::GetPlanPause() const {
+base::Duration Placer::GetPlanPause() const {
   auto runners = static_cast<int>(m_hooks.m_get_view().m_upstreams.size());
-  return std::min<base::milliseconds>(
-      kMostPlanPause, std::chrono::duration_cast<base::milliseconds>(
-                          kPlanPausePerRunner * runners));
+  base::Duration pause =
+      std::min<base::Duration>(kMostPlanPause, kPlanPausePerRunner * runners);
+  return std::max(pause, kPlanParts * m_plan_took);
 }
 
 void Placer::Run() {
--- a/src/fleet_control/placer.h
+++ b/src/fleet_control/placer.h
@@ -48,13 +48,17 @@
   /** Time between plans for each runner, since a plan looks at all of them. */
   static constexpr std::chrono::microseconds kPlanPausePerRunner{400};
   static constexpr base::milliseconds kMostPlanPause{100};
+  /** Plans take at most one part in so many of the time, and plans that look
+   * ahead of requests one in so many. */
+  static constexpr int kPlanParts = 10;
+  static constexpr int kAheadParts = 20;
   static constexpr base::milliseconds kCallTimeout{800};
   /** Time that a runner needs for an adapter from the store. */
   static constexpr base::milliseconds kAdapterLoad{14};
   static constexpr std::size_t kMaxStatusBytes = 256 * 1024;
 
   void Plan(base::TimePoint now);
-  base::milliseconds GetPlanPause() const;
+  base::Duration GetPlanPause() const;
   void SendOrder(const fleet::PlannedOrder &order);
   void SendQuery(const std::string &upstream);
   base::Result<net::Endpoint> FindAddress(const std::string &upstream) const;
@@ -64,6 +68,8 @@
   std::string m_holder;
   const ControlProtocol *m_protocol;
   Hooks m_hooks;
+  base::Duration m_plan_took{0};  ///< of the last plan
+  base::TimePoint m_ahead_at;     ///< next plan that looks ahead
   fleet::ResidencyPlanner m_planner;
   std::unique_ptr<net::HttpClientPool> m_client;
   std::uint64_t m_planned_term = 0;
--- a/src/fleet_control/publisher.cpp
+++ b/src/fleet_control/publisher.cpp
@@ -42,7 +42,10 @@
   follower.m_kind = request.has_control() ? fleet::FollowerKind::kControl
                                           : fleet::FollowerKind::kEntry;
   bool is_known_epoch = request.publisher_epoch() == m_log.m_epoch;
-  follower.m_acked_number = is_known_epoch ? request.acked_number() : 0;
+  RecordAcknowledged(&follower, is_known_epoch ? request.acked_number() : 0,
+                     now);
+  // A follower that doesn't know this publisher has lost what was sent.
+  if (!is_known_epoch) follower.m_sent_number = 0;
   follower.m_heard_at = now;
   m_acked.notify_all();
   // An acknowledgement alone needs no answer.
@@ -52,19 +55,49 @@
   if (must_answer) SendNews(from, &follower, request.wants_routes(), now);
 }
 
+void Publisher::RecordAcknowledged(FollowerState *follower,
+                                   std::uint64_t number, base::TimePoint now) {
+  if (number > follower->m_acked_number) {
+    follower->m_progress_at = now;
+    follower->m_resend_pause = kResend;
+  }
+  follower->m_acked_number = number;
+  follower->m_sent_number = std::max(follower->m_sent_number, number);
+}
+
+/**
+ * @return the number after which facts are sent now: what is on its way isn't
+ *         sent again before its time
+ */
+std::uint64_t Publisher::ChooseFirst(FollowerState *follower,
+                                     base::TimePoint now) {
+  bool is_outstanding = follower->m_sent_number > follower->m_acked_number;
+  if (!is_outstanding) {
+    follower->m_progress_at = now;
+    return follower->m_acked_number;
+  }
+  if (now < follower->m_progress_at + follower->m_resend_pause) {
+    return follower->m_sent_number;
+  }
+  follower->m_progress_at = now;
+  follower->m_resend_pause =
+      std::min(kMostResend, follower->m_resend_pause * 2);
+  return follower->m_acked_number;
+}
+
 bool Publisher::IsSendDue(const FollowerState &follower,
                           base::TimePoint now) const {
   if (follower.m_sent_header < m_header_number) return true;
   if (follower.m_acked_number >= m_log.m_last_number) return false;
   return follower.m_sent_number < m_log.m_last_number ||
-         now >= follower.m_sent_at + kResend;
+         now >= follower.m_progress_at + follower.m_resend_pause;
 }
 
 void Publisher::SendNews(const std::string &to, FollowerState *follower,
                          bool wants_routes, base::TimePoint now) {
   gen::FleetMessage message;
   gen::News *news = message.mutable_news();
-  fleet::FillNews(m_log, m_log.m_epoch, follower->m_acked_number,
+  fleet::FillNews(m_log, m_log.m_epoch, ChooseFirst(follower, now),
                   follower->m_kind, news);
   NewsHeader header = m_header();
   news->set_routes_version(header.m_routes_version);
--- a/src/fleet_control/publisher.h
+++ b/src/fleet_control/publisher.h
@@ -71,7 +71,10 @@
   static constexpr base::milliseconds kInTouch{1'300};
   /** News are pushed to a follower for this long after its last request. */
   static constexpr base::milliseconds kPushLifetime{3'000};
+  /** Facts without acknowledgement are sent again after this, then after
+   * twice as long each time. */
   static constexpr base::milliseconds kResend{250};
+  static constexpr base::milliseconds kMostResend{2'000};
   static constexpr base::milliseconds kForgetFollower{30'000};
   static constexpr base::milliseconds kTick{100};
   /** A follower hears of this host at least so often when it asks. */
@@ -85,10 +88,16 @@
     std::uint64_t m_acked_number = 0;  ///< of this publisher's epoch
     std::uint64_t m_sent_number = 0;
     std::uint64_t m_sent_header = 0;  ///< m_header_number when last sent
+    base::milliseconds m_resend_pause = kResend;
+    base::TimePoint m_progress_at;  ///< last acknowledgement or repetition
     base::TimePoint m_heard_at;
     base::TimePoint m_sent_at;
   };
 
+  static void RecordAcknowledged(FollowerState *follower, std::uint64_t number,
+                                 base::TimePoint now);
+  static std::uint64_t ChooseFirst(FollowerState *follower,
+                                   base::TimePoint now);
   void SendNews(const std::string &to, FollowerState *follower,
                 bool wants_routes, base::TimePoint now);
   void PushAll(base::TimePoint now);
--- a/tests/fleet_control_publisher_test.cpp
+++ b/tests/fleet_control_publisher_test.cpp
@@ -71,6 +71,35 @@
   EXPECT_EQ(harness.m_sent[0].second.facts_size(), 1);
 }
 
+// Every push repeated all facts that weren't acknowledged yet. With 1,002
+// upstreams and 100 entry hosts that filled control hosts' processor and
+// memory. (Sweep of hutchworks-live-grown.)
+TEST(PublisherTest, FactsOnTheirWayAreNotRepeatedBeforeTheirTime) {
+  Harness harness;
+  base::TimePoint now = base::Clock::now();
+  harness.m_publisher.Put(MakeFact("i-1"));
+  harness.m_publisher.HandleFollow("e1", harness.MakeRequest(0), now);
+  harness.m_publisher.Put(MakeFact("i-2"));
+  harness.m_publisher.HandleFollow("e1", harness.MakeRequest(0),
+                                   now + milliseconds(20));
+  ASSERT_EQ(harness.m_sent.size(), 2u);
+  EXPECT_EQ(harness.m_sent[1].second.first_number(), 1u);
+  EXPECT_EQ(harness.m_sent[1].second.facts_size(), 1);
+  // Without acknowledgement, both are sent again.
+  harness.m_publisher.HandleFollow("e1", harness.MakeRequest(0),
+                                   now + milliseconds(300));
+  ASSERT_EQ(harness.m_sent.size(), 3u);
+  EXPECT_EQ(harness.m_sent[2].second.facts_size(), 2);
+  // And again after twice the time.
+  harness.m_publisher.HandleFollow("e1", harness.MakeRequest(0),
+                                   now + milliseconds(600));
+  EXPECT_EQ(harness.m_sent.size(), 3u);
+  harness.m_publisher.HandleFollow("e1", harness.MakeRequest(0),
+                                   now + milliseconds(850));
+  ASSERT_EQ(harness.m_sent.size(), 4u);
+  EXPECT_EQ(harness.m_sent[3].second.facts_size(), 2);
+}
+
 // A burst of changes was one message each to every follower.
 TEST(PublisherTest, ChangesOfOneMomentTravelTogether) {
   net::RunFiberThread([] {
--- a/tests/fleet_residency_fixture.h
+++ b/tests/fleet_residency_fixture.h
@@ -82,7 +82,8 @@
 
   ResidencyActions Plan(base::TimePoint now) {
     m_view.m_publishers[kPublisher].m_heard_at = now;
-    return PlanResidency(&m_planner, m_view, *m_routes, /*term=*/1, now);
+    return PlanResidency(&m_planner, m_view, *m_routes, /*term=*/1,
+                         /*plans_ahead=*/true, now);
   }
 
   void Answer(const std::string &id, std::uint64_t accepted,
