--- a/tests/base.cmake
+++ b/tests/base.cmake
@@ -1,1 +1,2 @@
 ww_add_test(base_settings_test ww_base_lib)
+ww_add_test(base_text_test ww_base_lib)
--- a/tests/net_message_test.cpp
+++ b/tests/net_message_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/fiber/fiber.hpp>
 
+#include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
 
@@ -153,5 +154,18 @@
   });
 }
 
+// A message of another version must not be read by this one's meaning.
+TEST(EnvelopeTest, OtherVersionsAndNoiseAreNotRead) {
+  gen::Envelope envelope = MakeEnvelope("10.0.0.1:7000", "n1");
+  std::optional<gen::Envelope> read =
+      ParseEnvelope(envelope.SerializeAsString());
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->from(), "10.0.0.1:7000");
+  EXPECT_EQ(read->from_node(), "n1");
+  envelope.set_version(envelope.version() + 1);
+  EXPECT_FALSE(ParseEnvelope(envelope.SerializeAsString()));
+  EXPECT_FALSE(ParseEnvelope("\xff\xff noise"));
+}
+
 }  // namespace
 }  // namespace wasabiwind::net
