--- a/src/fleet_control/placer.h
+++ b/src/fleet_control/placer.h
@@ -48,10 +48,10 @@
   /** Time between plans for each runner, since a plan looks at all of them. */
   static constexpr std::chrono::microseconds kPlanPausePerRunner{400};
   static constexpr base::milliseconds kMostPlanPause{100};
-  /** Plans take at most one part in so many of the time, and plans that look
-   * ahead of requests one in so many. */
-  static constexpr int kPlanParts = 10;
-  static constexpr int kAheadParts = 20;
+  /** After a plan, none follows for so many times as long as it took, and none
+   * that looks ahead of requests for so many times. */
+  static constexpr int kPlanParts = 2;
+  static constexpr int kAheadParts = 3;
   static constexpr base::milliseconds kCallTimeout{800};
   /** Time that a runner needs for an adapter from the store. */
   static constexpr base::milliseconds kAdapterLoad{14};
