Keep an upstream that moves its announcements to another entry host

Ruled out: load (the other two hosts served the same upstream meanwhile) and the envelopes that were moved to one file (reports of other upstreams arrived).

entry_upstream_table_test: 2 of 4 failed before, all pass after.

--- a/src/entry/upstream_table.cpp
+++ b/src/entry/upstream_table.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 #include "base/log_func.h"
@@ -23,6 +24,9 @@
   base::TimePoint m_renewed;
   bool m_is_local = false;  ///< announces here
   bool m_is_suspect = false;
+  /** The same start as another entry host reported it meanwhile. */
+  std::optional<gen::UpstreamRecord> m_elsewhere;
+  bool m_has_claimed = false;  ///< told again that it announces here
 };
 
 struct Shard {
@@ -128,18 +132,29 @@
   gen::UpstreamRecord fresh = record;
   fresh.set_observer(m_impl->m_options.m_node);
   if (fresh.region().empty()) fresh.set_region(m_impl->m_options.m_region);
-  bool is_changed = is_new || IsChanged(entry.m_record, fresh);
+  if (is_new) entry.m_has_claimed = false;
+  // Another host had the upstream before: it must learn, once, that the
+  // announcements come here, or it would report the upstream as gone.
+  bool must_claim = entry.m_elsewhere && !entry.m_has_claimed &&
+                    entry.m_elsewhere->sequence() >= entry.m_record.sequence();
+  std::uint64_t sequence = entry.m_record.sequence();
+  if (must_claim) {
+    entry.m_has_claimed = true;
+    sequence = entry.m_elsewhere->sequence();
+  }
+  bool is_changed = is_new || must_claim || IsChanged(entry.m_record, fresh);
   bool was_suspect = entry.m_is_suspect;
   entry.m_renewed = now;
   entry.m_load = announcement.m_load;
   entry.m_is_local = true;
   entry.m_is_suspect = false;
+  entry.m_elsewhere.reset();
   if (!is_changed && !was_suspect) {
     m_impl->NoteLoad(entry);
     return AnnounceOutcome::kAccepted;
   }
   if (is_changed) {
-    fresh.set_sequence(is_new ? 1 : entry.m_record.sequence() + 1);
+    fresh.set_sequence(is_new ? 1 : sequence + 1);
     entry.m_record = std::move(fresh);
     m_impl->m_report(entry.m_record);
     base::LogEvent(
@@ -171,10 +186,20 @@
   bool is_newer_change = record.incarnation() == known.incarnation() &&
                          record.sequence() >= known.sequence() &&
                          !entry.m_is_local;
-  if (!is_newer_start && !is_newer_change) return;
+  bool is_elsewhere = entry.m_is_local &&
+                      record.incarnation() == known.incarnation() &&
+                      record.observer() != known.observer();
+  if (is_elsewhere) {
+    // The upstream may have moved its announcements there.
+    entry.m_elsewhere.reset();
+    if (!is_gone) entry.m_elsewhere = record;
+  }
+  bool has_moved = is_elsewhere && !is_gone && entry.m_is_suspect;
+  if (!is_newer_start && !is_newer_change && !has_moved) return;
   entry.m_record = record;
   entry.m_is_local = false;
   entry.m_is_suspect = false;
+  entry.m_elsewhere.reset();
   m_impl->Publish(entry);
   if (!is_gone) return;
   shard.m_entries.erase(found);
@@ -195,6 +220,13 @@
     return true;
   }
   if (silent < m_options.m_suspect_after || entry->m_is_suspect) return false;
+  if (entry->m_elsewhere) {
+    entry->m_record = *entry->m_elsewhere;
+    entry->m_is_local = false;
+    entry->m_elsewhere.reset();
+    Publish(*entry);
+    return false;
+  }
   entry->m_is_suspect = true;
   Publish(*entry);
   base::LogEvent(base::LogLevel::kWarn, "upstream_suspect",
--- a/tests/entry.cmake
+++ b/tests/entry.cmake
@@ -1,4 +1,5 @@
 ww_add_test(entry_server_test ww_entry_lib)
+ww_add_test(entry_upstream_table_test ww_entry_lib)
 ww_add_test(entry_stream_test ww_entry_lib)
 ww_add_test(entry_once_test ww_entry_lib)
 add_executable(entry_parsers_fuzz ${CMAKE_SOURCE_DIR}/fuzz/entry_parsers_fuzz.cpp)
