Log for how long an entry host knew that its route table was outdated

Change: routes_in_force of entry hosts says for how long the host knew of a newer table, how often it requested one and who sent it; histogram ww_routes_outdated_seconds. When a table is requested is unchanged.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -55,23 +55,43 @@
   return false;
 }
 
+void RecordAnnouncement(Follower *follower, std::uint64_t announced,
+                        base::TimePoint now) {
+  if (announced <= follower->m_announced_version) return;
+  follower->m_announced_version = announced;
+  follower->m_announced_at = now;
+  if (follower->m_outdated_since == base::TimePoint()) {
+    follower->m_outdated_since = now;
+  }
+}
+
+/** Moves to a received table. @pre it is newer than the current one */
+void AdoptRoutes(Follower *follower, const gen::RouteTable &routes,
+                 FactUpdateResult *result, base::TimePoint now) {
+  follower->m_routes_version = routes.version();
+  result->m_routes = routes;
+  result->m_routes_request_count = follower->m_routes_request_count;
+  if (follower->m_outdated_since != base::TimePoint()) {
+    result->m_outdated_time = now - follower->m_outdated_since;
+  }
+  bool is_newest = routes.version() >= follower->m_announced_version;
+  follower->m_outdated_since = is_newest ? base::TimePoint() : now;
+  follower->m_routes_request_count = 0;
+}
+
 /**
  * Decides whether to ask a publisher for the table that it announces. Tables
  * are large and traffic between regions is charged, so a host that has a table
  * waits for a near publisher first. A host without a table asks at once.
  */
-bool WantsRoutes(Follower *follower, const std::string &publisher,
+bool WantsRoutes(const Follower &follower, const std::string &publisher,
                  std::uint64_t announced, base::TimePoint now) {
-  if (announced <= follower->m_routes_version) return false;
-  if (announced > follower->m_announced_version) {
-    follower->m_announced_version = announced;
-    follower->m_announced_at = now;
-  }
-  if (now < follower->m_routes_asked_at + kRoutesRetryDelay) return false;
-  bool must_wait = follower->m_routes_version != 0 &&
-                   now < follower->m_announced_at + kNearRoutesWait &&
-                   !IsNear(*follower, publisher) &&
-                   HasNearPublisher(*follower, now);
+  if (announced <= follower.m_routes_version) return false;
+  if (now < follower.m_routes_asked_at + kRoutesRetryDelay) return false;
+  bool must_wait = follower.m_routes_version != 0 &&
+                   now < follower.m_announced_at + kNearRoutesWait &&
+                   !IsNear(follower, publisher) &&
+                   HasNearPublisher(follower, now);
   return !must_wait;
 }
 
@@ -118,12 +138,18 @@
   FactUpdateChanges outcome =
       ApplyFactUpdate(&follower->m_view, from, update, now);
   result.m_changed_upstreams = std::move(outcome.m_changed_upstreams);
+  if (update.routes_version() > follower->m_routes_version) {
+    RecordAnnouncement(follower, update.routes_version(), now);
+  }
   if (update.routes().version() > follower->m_routes_version) {
-    follower->m_routes_version = update.routes().version();
-    result.m_routes = update.routes();
+    AdoptRoutes(follower, update.routes(), &result, now);
+  }
+  bool wants_routes =
+      WantsRoutes(*follower, from, update.routes_version(), now);
+  if (wants_routes) {
+    follower->m_routes_asked_at = now;
+    ++follower->m_routes_request_count;
   }
-  bool wants_routes = WantsRoutes(follower, from, update.routes_version(), now);
-  if (wants_routes) follower->m_routes_asked_at = now;
   bool must_answer = update.facts_size() != 0 || outcome.m_is_new_epoch ||
                      !outcome.m_is_complete || wants_routes;
   if (must_answer) {
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -29,6 +29,10 @@
   base::TimePoint m_routes_asked_at;
   std::uint64_t m_announced_version = 0;  ///< highest table version seen
   base::TimePoint m_announced_at;
+  /** When this host learned that its table is not the newest; the epoch while
+   * it is. */
+  base::TimePoint m_outdated_since;
+  int m_routes_request_count = 0;  ///< since m_outdated_since
 };
 
 /** A message and the endpoint that it goes to. */
@@ -65,6 +69,10 @@
   std::vector<OutMessage> m_messages;
   std::vector<std::string> m_changed_upstreams;
   std::optional<gen::RouteTable> m_routes;  ///< newer than the current one
+  /** For how long this host knew that its table wasn't the newest, and how
+   * often it requested one. With m_routes. */
+  base::Duration m_outdated_time{0};
+  int m_routes_request_count = 0;
 };
 
 /**
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -109,12 +109,21 @@
   }
 }
 
-void Gateway::AdoptRoutes(gen::RouteTable table) {
+void Gateway::AdoptRoutes(const std::string &publisher,
+                          fleet::FactUpdateResult *result) {
+  static prometheus::Histogram &outdated_times = base::GetLatencyHistogram(
+      "ww_routes_outdated_seconds",
+      "Time from learning of a newer route table to using it");
   bool is_first = m_routes == nullptr;
-  m_routes = routes::MakeRouteIndex(std::move(table));
+  m_routes = routes::MakeRouteIndex(std::move(*result->m_routes));
+  outdated_times.Observe(
+      std::chrono::duration<double>(result->m_outdated_time).count());
   LogEvent(LogLevel::kInfo, "routes_in_force",
            {{"version", m_routes->m_table.version()},
-            {"routes", m_routes->m_table.routes_size()}});
+            {"routes", m_routes->m_table.routes_size()},
+            {"outdated_ms", base::ToMilliseconds(result->m_outdated_time)},
+            {"requests", result->m_routes_request_count},
+            {"publisher", publisher}});
   if (m_on_caller_limits) m_on_caller_limits(m_routes->m_table.limits());
   m_view_changed.notify_all();
   if (!is_first) return;
@@ -128,7 +137,7 @@
   UpdateOwnReport();
   fleet::FactUpdateResult result = fleet::HandleFactUpdate(
       &m_follower, from, message.news(), base::Clock::now());
-  if (result.m_routes) AdoptRoutes(std::move(*result.m_routes));
+  if (result.m_routes) AdoptRoutes(from, &result);
   for (const std::string &id : result.m_changed_upstreams) {
     const gen::UpstreamReport &report =
         m_follower.m_view.m_upstreams[id].m_report;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -117,7 +117,8 @@
 
   // gateway.cpp
   void SendAll(const std::vector<fleet::OutMessage> &messages);
-  void AdoptRoutes(gen::RouteTable table);
+  void AdoptRoutes(const std::string &publisher,
+                   fleet::FactUpdateResult *result);
   void CancelAbandonedRequests();
   void ForgetStats();
   void SendUseReport(base::TimePoint now);
