Bound the wait for a near control host's route table

Cause: an entry host with an outdated table requests a newer one only from control hosts of its region for 400 ms, to save traffic between regions. Each newer version started this wait again. While the near control host was reachable but behind (stalled disk, cut off from the leader), changes less than 400 ms apart kept the host from requesting any table, without a bound.

Evidence: routes_in_force showed hosts that knew for 5 to 6 s that their table was outdated and requested one once; the hosts of other regions followed within 0.1 s. Ruled out by the same fields: lost requests, late announcements.

Change: the wait starts when the current table becomes outdated. It can't be prolonged, since only a table that arrives starts another one.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -59,7 +59,6 @@
                         base::TimePoint now) {
   if (announced <= follower->m_announced_version) return;
   follower->m_announced_version = announced;
-  follower->m_announced_at = now;
   if (follower->m_outdated_since == base::TimePoint()) {
     follower->m_outdated_since = now;
   }
@@ -89,7 +88,7 @@
   if (announced <= follower.m_routes_version) return false;
   if (now < follower.m_routes_asked_at + kRoutesRetryDelay) return false;
   bool must_wait = follower.m_routes_version != 0 &&
-                   now < follower.m_announced_at + kNearRoutesWait &&
+                   now < follower.m_outdated_since + kNearRoutesWait &&
                    !IsNear(follower, publisher) &&
                    HasNearPublisher(follower, now);
   return !must_wait;
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -28,7 +28,6 @@
   std::map<std::string, base::TimePoint> m_asked_at;
   base::TimePoint m_routes_asked_at;
   std::uint64_t m_announced_version = 0;  ///< highest table version seen
-  base::TimePoint m_announced_at;
   /** When this host learned that its table is not the newest; the epoch while
    * it is. */
   base::TimePoint m_outdated_since;
@@ -49,7 +48,8 @@
 /** Minimum time between two requests for the route table, whichever publishers
  * they go to. */
 inline constexpr base::milliseconds kRoutesRetryDelay{300};
-/** Time for which a new table is only requested from near publishers. */
+/** Time for which a newer table is only requested from near publishers. It
+ * starts when the current table becomes outdated, not with each version. */
 inline constexpr base::milliseconds kNearRoutesWait{400};
 
 /** @return the endpoints to follow: seeds and known control hosts. */
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -186,13 +186,8 @@
   EXPECT_EQ(follower.m_routes_version, 3u);
 }
 
-// Entry hosts fetched tables from the first control host that announced them,
-// mostly over charged links between regions. (0.23 GB in the run
-// hutchworks-live-grown trouble-2.)
-TEST(FollowerTest, AsksANearPublisherForATableFirst) {
-  Follower follower;
-  follower.m_routes_version = 1;
-  follower.m_near_domains = {"near"};
+/** @return facts on two publishers: kA is in failure domain near, kB in far. */
+gen::FactUpdate MakePublisherUpdate() {
   gen::FactUpdate update;
   update.set_publisher_epoch(1);
   for (const char *publisher : {kA, kB}) {
@@ -203,17 +198,35 @@
   }
   update.set_last_number(2);
   update.set_routes_version(1);
-  HandleFactUpdate(&follower, kA, update, At(1'000));
-  gen::FactUpdate announced;
-  announced.set_publisher_epoch(1);
-  announced.set_first_number(2);
-  announced.set_last_number(2);
-  announced.set_routes_version(2);
+  return update;
+}
+
+/** @return an update without facts after MakePublisherUpdate. */
+gen::FactUpdate MakeAnnouncement(std::uint64_t routes_version) {
+  gen::FactUpdate update;
+  update.set_publisher_epoch(1);
+  update.set_first_number(2);
+  update.set_last_number(2);
+  update.set_routes_version(routes_version);
+  return update;
+}
+
+bool RequestsRoutes(const FactUpdateResult &result) {
+  return !result.m_messages.empty() &&
+         result.m_messages[0].m_message.follow().wants_routes();
+}
+
+// Entry hosts fetched tables from the first control host that announced them,
+// mostly over charged links between regions. (0.23 GB in the run
+// hutchworks-live-grown trouble-2.)
+TEST(FollowerTest, AsksANearPublisherForATableFirst) {
+  Follower follower;
+  follower.m_routes_version = 1;
+  follower.m_near_domains = {"near"};
+  HandleFactUpdate(&follower, kA, MakePublisherUpdate(), At(1'000));
   auto wants = [&](const char *publisher, int ms) {
-    FactUpdateResult result =
-        HandleFactUpdate(&follower, publisher, announced, At(ms));
-    return !result.m_messages.empty() &&
-           result.m_messages[0].m_message.follow().wants_routes();
+    return RequestsRoutes(
+        HandleFactUpdate(&follower, publisher, MakeAnnouncement(2), At(ms)));
   };
   EXPECT_FALSE(wants(kB, 1'010));
   EXPECT_TRUE(wants(kA, 1'020));
@@ -221,6 +234,46 @@
   EXPECT_TRUE(wants(kB, 1'500));
 }
 
+// A control host that was reachable but behind kept the entry hosts near it
+// from requesting a table for as long as newer versions followed each other.
+TEST(FollowerTest, SeriesOfChangesDoesNotProlongTheWaitForANearPublisher) {
+  Follower follower;
+  follower.m_routes_version = 1;
+  follower.m_near_domains = {"near"};
+  gen::FactUpdate update = MakePublisherUpdate();
+  HandleFactUpdate(&follower, kA, update, At(1'000));
+  HandleFactUpdate(&follower, kB, update, At(1'000));
+  std::optional<base::TimePoint> requested_at;
+  for (int ms = 1'100; ms < 4'000 && !requested_at; ms += 100) {
+    HandleFactUpdate(&follower, kA, MakeAnnouncement(1), At(ms));
+    FactUpdateResult result =
+        HandleFactUpdate(&follower, kB, MakeAnnouncement(ms), At(ms));
+    if (RequestsRoutes(result)) requested_at = At(ms);
+  }
+  ASSERT_TRUE(requested_at.has_value());
+  EXPECT_LE(*requested_at, At(1'100) + kNearRoutesWait);
+}
+
+// Each table that arrives starts a new wait, so that later ones are requested
+// from a near publisher again.
+TEST(FollowerTest, WaitsForANearPublisherAgainAfterEachTable) {
+  Follower follower;
+  follower.m_routes_version = 1;
+  follower.m_near_domains = {"near"};
+  gen::FactUpdate update = MakePublisherUpdate();
+  HandleFactUpdate(&follower, kA, update, At(1'000));
+  HandleFactUpdate(&follower, kB, update, At(1'000));
+  EXPECT_FALSE(RequestsRoutes(
+      HandleFactUpdate(&follower, kB, MakeAnnouncement(2), At(1'100))));
+  gen::FactUpdate table = MakeAnnouncement(2);
+  table.mutable_routes()->set_version(2);
+  HandleFactUpdate(&follower, kA, table, At(1'200));
+  EXPECT_FALSE(RequestsRoutes(
+      HandleFactUpdate(&follower, kB, MakeAnnouncement(3), At(1'900))));
+  EXPECT_TRUE(RequestsRoutes(
+      HandleFactUpdate(&follower, kA, MakeAnnouncement(3), At(1'910))));
+}
+
 TEST(FollowerTest, FollowsSeedsAndKnownHostsOncePerPeriod) {
   Follower follower;
   follower.m_own_endpoint = kB;
