--- a/src/control/member_service.cpp
+++ b/src/control/member_service.cpp
@@ -89,11 +89,9 @@
 
 void MemberService::AnswerSnapshot(const std::string &from,
                                    const gen::SnapshotRequest &request) {
-  std::uint64_t revision = m_parent.m_config.m_revision;
-  if (revision == 0) return;
-  if (m_snapshot.m_revision != revision) {
-    m_snapshot = {revision, m_hooks.m_serialize_declarations()};
-  }
+  if (m_parent.m_config.m_revision == 0) return;
+  member::RefreshSnapshot(&m_snapshot, m_parent.m_config,
+                          m_hooks.m_serialize_declarations);
   gen::MemberMessage answer;
   *answer.mutable_snapshot_chunk() =
       member::MakeSnapshotChunk(m_snapshot, request);
--- a/src/entry/network_link.cpp
+++ b/src/entry/network_link.cpp
@@ -57,6 +57,7 @@
   /** Upstreams that announce themselves here, by ID. */
   std::map<std::string, gen::UpstreamRecord> m_announced;
   member::SnapshotSource m_snapshot;  ///< for children; made on request
+  base::TimePoint m_snapshot_requested_at;
   std::vector<RepeatedNotice> m_notices;
   /** Nodes that got notices; their connections are closed after the last one,
    * unless they are in use otherwise. */
@@ -202,11 +203,12 @@
 
 void NetworkLink::Impl::AnswerSnapshot(const std::string &from,
                                        const gen::SnapshotRequest &request) {
-  std::uint64_t revision = m_follower.m_parent.m_config.m_revision;
-  if (revision == 0) return;
-  if (m_snapshot.m_revision != revision) {
-    m_snapshot = {revision, m_catalog->m_declarations.SerializeAsString()};
-  }
+  const member::ConfigLog &config = m_follower.m_parent.m_config;
+  if (config.m_revision == 0) return;
+  m_snapshot_requested_at = base::Clock::now();
+  member::RefreshSnapshot(&m_snapshot, config, [this] {
+    return m_catalog->m_declarations.SerializeAsString();
+  });
   gen::MemberMessage answer;
   *answer.mutable_snapshot_chunk() =
       member::MakeSnapshotChunk(m_snapshot, request);
@@ -267,7 +269,6 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     m_catalog = catalog;
   }
-  if (m_snapshot.m_revision != revision) m_snapshot = {};
   m_must_trim = true;
   m_revision_gauge.Set(static_cast<double>(revision));
   base::LogEvent(base::LogLevel::kInfo, "configuration_in_force",
@@ -351,6 +352,9 @@
     m_must_trim = false;
     malloc_trim(0);
   }
+  bool is_snapshot_unused =
+      now >= m_snapshot_requested_at + m_options.m_member.m_node_timeout;
+  if (is_snapshot_unused) m_snapshot = {};
   member::TickRelay(&m_follower.m_parent, now, m_options.m_member);
   for (const gen::UpstreamRecord &record : member::ExpireMembers(
            &m_follower.m_parent.m_members, now, m_options.m_member)) {
--- a/src/member/parent.cpp
+++ b/src/member/parent.cpp
@@ -203,6 +203,16 @@
   return relays[hash % relays.size()]->message_address();
 }
 
+void RefreshSnapshot(SnapshotSource *source, const ConfigLog &config,
+                     const std::function<std::string()> &serialize) {
+  bool is_usable =
+      source->m_revision != 0 && !SelectConfigDeltas(config, source->m_revision,
+                                                     /*max_bytes=*/0)
+                                      .m_needs_snapshot;
+  if (is_usable) return;
+  *source = {config.m_revision, serialize()};
+}
+
 gen::SnapshotChunk MakeSnapshotChunk(const SnapshotSource &source,
                                      const gen::SnapshotRequest &request) {
   gen::SnapshotChunk chunk;
--- a/src/member/parent_func.h
+++ b/src/member/parent_func.h
@@ -6,6 +6,7 @@
 
 #include <member.pb.h>
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -113,6 +114,15 @@
 
 constexpr std::size_t kSnapshotChunkBytes = 256 * 1024;
 
+/**
+ * Serializes the declarations for a request, unless the log has the deltas that
+ * follow the snapshot that the source holds. A newer revision alone doesn't
+ * replace it, because that would restart all transfers in progress.
+ * @param serialize returns the declarations of the log's revision
+ */
+void RefreshSnapshot(SnapshotSource *source, const ConfigLog &config,
+                     const std::function<std::string()> &serialize);
+
 /**
  * @return the requested part, or the first part if the source holds another
  *         revision than the requested one
--- a/tests/member_freshness_test.cpp
+++ b/tests/member_freshness_test.cpp
@@ -8,6 +8,7 @@
 
 #include "base/random_func.h"
 #include "member/follower_func.h"
+#include "member/parent_func.h"
 
 namespace wasabiwind::member {
 namespace {
@@ -357,5 +358,69 @@
                                          Fault::kIgnoreAge,
                                          Fault::kAnswerWithoutQuorum));
 
+/** Guards against a node without a configuration that never gets one, because
+ * each accepted change restarts the transfer of a snapshot of several parts. */
+TEST(SnapshotTransferTest, EndsAlthoughChangesFollowEachOther) {
+  MemberOptions options;
+  ConfigLog log;
+  auto accept_change = [&log, &options] {
+    gen::ConfigDelta delta;
+    delta.set_revision(log.m_revision + 1);
+    delta.add_changes()->mutable_model()->set_name("model");
+    ASSERT_TRUE(AppendConfigDelta(&log, delta, options));
+  };
+  accept_change();
+  gen::Declarations declarations;
+  declarations.add_model()->set_name(std::string(3 * kSnapshotChunkBytes, 'm'));
+  base::TimePoint now;
+  Follower follower;
+  InitializeFollower(&follower, gen::NodeRecord(), {"control"}, now);
+  gen::ConfirmReply reply;
+  reply.set_request_number(TickFollower(&follower, {}, now, options)
+                               .at(0)
+                               .m_message.confirm_request()
+                               .request_number());
+  reply.set_revision(log.m_revision);
+  reply.set_needs_snapshot(true);
+  FollowerEffects effects = HandleConfirmReply(&follower, reply, now, options);
+  SnapshotSource source;
+  for (int i = 0; i < 50 && !effects.m_snapshot; ++i) {
+    ASSERT_EQ(effects.m_messages.size(), 1u);
+    accept_change();
+    RefreshSnapshot(&source, log, [&declarations] {
+      return declarations.SerializeAsString();
+    });
+    effects = HandleSnapshotChunk(
+        &follower,
+        MakeSnapshotChunk(source,
+                          effects.m_messages[0].m_message.snapshot_request()),
+        now);
+  }
+  ASSERT_TRUE(effects.m_snapshot.has_value());
+  // The changes since the snapshot are still available as deltas.
+  EXPECT_FALSE(SelectConfigDeltas(log, effects.m_snapshot_revision,
+                                  options.m_max_reply_bytes)
+                   .m_needs_snapshot);
+}
+
+/** Guards against a snapshot from which no deltas lead to the last revision. */
+TEST(SnapshotTransferTest, OutdatedSnapshotIsReplaced) {
+  MemberOptions options;
+  options.m_max_delta_bytes = 100;
+  ConfigLog log;
+  SnapshotSource source;
+  for (std::uint64_t revision = 1; revision <= 50; ++revision) {
+    gen::ConfigDelta delta;
+    delta.set_revision(revision);
+    delta.add_changes()->mutable_model()->set_name("model");
+    ASSERT_TRUE(AppendConfigDelta(&log, delta, options));
+    RefreshSnapshot(&source, log,
+                    [revision] { return std::to_string(revision); });
+    EXPECT_EQ(source.m_data, std::to_string(source.m_revision));
+    EXPECT_FALSE(
+        SelectConfigDeltas(log, source.m_revision, 1'000).m_needs_snapshot);
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwind::member
