Crash the test engine only inside a stream

Cause: scenario engines-replaced expects that a broken stream is resumed, but the fault crash_after_tokens fired at the fifth token of any request.

Change: the engine crashes after that many tokens of a stream that has more, so that a stream is broken in each run. The check is unchanged.

--- a/src/standin/engine_base.h
+++ b/src/standin/engine_base.h
@@ -29,7 +29,8 @@
 struct EngineFaults {
   double m_slow_factor = 1.0;  ///< multiplies load, prefill and token times
   base::TimePoint m_slow_until;
-  int m_crash_after_tokens = 0;  ///< 0: never
+  /** Crashes after this many tokens of a stream that has more; 0: never. */
+  int m_crash_after_tokens = 0;
   bool m_crash_in_load = false;
   int m_fail_loads = 0;           ///< number of next loads that fail
   int m_break_after_tokens = 0;   ///< 0: never; then closes the connection
--- a/src/standin/engine_generate.cpp
+++ b/src/standin/engine_generate.cpp
@@ -186,6 +186,10 @@
     if ((is_full || IsFaultDue(sent)) && !Flush(&batch, exchange)) {
       return "broken";
     }
+    bool is_inside_stream = job->m_is_stream && index + 1 < count;
+    if (is_inside_stream && sent == m_faults.m_crash_after_tokens) {
+      std::_Exit(kCrashExitCode);
+    }
     if (!ApplyStreamFaults(sent, exchange)) return "broken";
   }
   if (!Flush(&batch, exchange)) return "broken";
@@ -221,7 +225,6 @@
 
 /** @return false if a fault closed the connection. */
 bool Engine::ApplyStreamFaults(int sent, net::HttpExchange &exchange) {
-  if (sent == m_faults.m_crash_after_tokens) std::_Exit(kCrashExitCode);
   if (sent == m_faults.m_break_after_tokens) {
     exchange.Abort();
     return false;
