Log prompt parts and events of failed attempts

Change: attempt_failed has the number of whole events that the attempt got and keys of the prompt's parts but the last. Which requests are sent is unchanged.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -1,5 +1,7 @@
 /** @file attempt.cpp One attempt of a request at one upstream. */
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "base/log_func.h"
@@ -34,6 +36,11 @@
   scope->m_reason = reason;
 }
 
+/** @return keys as hexadecimal numbers, separated by commas. */
+std::string FormatKeys(const std::vector<std::uint64_t> &keys) {
+  return fmt::format("{:x}", fmt::join(keys, ","));
+}
+
 /** Ends an attempt after a failed read from the upstream. */
 void EndFailedRead(RequestScope *scope, const base::Error &error) {
   if (scope->m_is_caller_gone) {
@@ -68,6 +75,7 @@
   scope->m_prefill_tokens = choice.m_prefill_tokens;
   scope->m_sent_at = base::Clock::now();
   scope->m_splitter = EventSplitter();
+  scope->m_event_count = 0;
   UpstreamStats &stats_before = m_stats[choice.m_upstream];
   ++stats_before.m_in_flight;
   stats_before.m_prefill_tokens += choice.m_prefill_tokens;
@@ -86,6 +94,8 @@
             {"reason", scope->m_reason},
             {"may_have_run", scope->m_attempt_end != AttemptEnd::kNotRun},
             {"head_sent", scope->m_is_head_sent},
+            {"events", scope->m_event_count},
+            {"parts", FormatKeys(scope->m_part_keys)},
             {"took_ms",
              base::ToMilliseconds(base::Clock::now() - scope->m_sent_at)}});
 }
@@ -224,6 +234,7 @@
     EndAttempt(scope, AttemptEnd::kUnknown, "event_too_long");
     return false;
   }
+  scope->m_event_count += static_cast<int>(events.size());
   std::string text;
   std::optional<std::uint64_t> last = scope->m_last_event_id;
   for (const StreamEvent &event : events) {
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -28,6 +28,8 @@
   const gen::Route *m_route = nullptr;
   const gen::RoutedService *m_service = nullptr;
   std::vector<std::uint64_t> m_prefix_keys;
+  /** Of the prompt parts that other requests may share, in order. */
+  std::vector<std::uint64_t> m_part_keys;
   std::uint64_t m_request_hash = 0;
   base::TimePoint m_started_at;
   base::TimePoint m_deadline;
@@ -44,7 +46,8 @@
   // The attempt in progress.
   net::HttpCall *m_call = nullptr;
   AttemptEnd m_attempt_end = AttemptEnd::kUnknown;
-  std::string m_reason;  ///< why the attempt failed
+  int m_event_count = 0;  ///< whole events of a stream
+  std::string m_reason;   ///< why the attempt failed
 
   // Outcome, for the log.
   bool m_is_caller_gone = false;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -133,6 +133,7 @@
   scope->m_service = routes::FindService(
       *m_routes, routes::ChooseService(*scope->m_route, scope->m_request_hash));
   scope->m_prefix_keys = MakePrefixKeys(scope->m_metadata);
+  scope->m_part_keys = MakePartKeys(scope->m_metadata);
   base::milliseconds timeout(scope->m_route->timeout_ms());
   base::milliseconds caller_timeout =
       scope->m_metadata.m_caller_timeout.value_or(kDefaultCallerTimeout);
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -43,6 +43,15 @@
   return keys;
 }
 
+std::vector<std::uint64_t> MakePartKeys(const RequestMetadata &request) {
+  std::vector<std::uint64_t> keys;
+  for (std::size_t i = 0; i + 1 < request.m_parts.size(); ++i) {
+    const std::string &id = request.m_parts[i].m_id;
+    keys.push_back(XXH3_64bits(id.data(), id.size()));
+  }
+  return keys;
+}
+
 std::uint64_t GetSharedPrefixKey(const std::vector<std::uint64_t> &keys) {
   if (keys.empty()) return 0;
   return keys.size() == 1 ? keys.front() : keys[keys.size() - 2];
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -48,6 +48,9 @@
 /** @return one key per prompt part, which covers it and all parts before it. */
 std::vector<std::uint64_t> MakePrefixKeys(const RequestMetadata &request);
 
+/** @return one key per prompt part but the last, whatever stands before it. */
+std::vector<std::uint64_t> MakePartKeys(const RequestMetadata &request);
+
 /**
  * @return the key of the prefix that a prompt may share with others: all parts
  *         but the last, or its only part; 0 without parts
