Quarantine prompt parts that crash runners

Cause: nothing related crashes to requests. Each entry host saw one failed attempt, held the runner to be unlucky, and the next such request, or the repeat of the same one, went to another runner.

Crashes alone don't single out one part; answers to sound prompts do.

Change: entry hosts report prompts that were lost with their runner before it had sent two events, and the parts of prompts that were answered. The leader quarantines a part that is suspect in three crashes, that no answer clears and that no other part explains. The decision is in the replicated log, so that it survives tables, restarts and a loss of power, and reaches entry hosts with the next fact update. They refuse such requests as not run and cancel those on a runner. After ten minutes a part is released on trial.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -18,6 +18,7 @@
     request->set_acked_number(known->second.m_acked_number);
   }
   request->set_routes_version(follower->m_routes_version);
+  request->set_quarantine_version(follower->m_quarantine_version);
   request->set_wants_routes(wants_routes);
   follower->m_asked_at[publisher] = now;
   return out;
@@ -143,6 +144,10 @@
   if (update.routes().version() > follower->m_routes_version) {
     AdoptRoutes(follower, update.routes(), &result, now);
   }
+  if (update.quarantine().version() > follower->m_quarantine_version) {
+    follower->m_quarantine_version = update.quarantine().version();
+    result.m_quarantine = update.quarantine();
+  }
   bool wants_routes =
       WantsRoutes(*follower, from, update.routes_version(), now);
   if (wants_routes) {
@@ -150,7 +155,8 @@
     ++follower->m_routes_request_count;
   }
   bool must_answer = update.facts_size() != 0 || outcome.m_is_new_epoch ||
-                     !outcome.m_is_complete || wants_routes;
+                     !outcome.m_is_complete || wants_routes ||
+                     result.m_quarantine.has_value();
   if (must_answer) {
     result.m_messages.push_back(MakeRequest(follower, from, wants_routes, now));
   }
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -20,6 +20,7 @@
   gen::FollowRequest m_self;   ///< sent with each request
   FleetView m_view;
   std::uint64_t m_routes_version = 0;
+  std::uint64_t m_quarantine_version = 0;
   /** Message endpoints of the control hosts that the settings name. */
   std::set<std::string> m_seeds;
   /** Failure domains whose control hosts are asked for route tables first. */
@@ -73,6 +74,8 @@
    * often it requested one. With m_routes. */
   base::Duration m_outdated_time{0};
   int m_routes_request_count = 0;
+  /** Newer than the current one. */
+  std::optional<gen::PromptQuarantine> m_quarantine;
 };
 
 /**
--- a/src/fleet_control/publisher.cpp
+++ b/src/fleet_control/publisher.cpp
@@ -11,10 +11,10 @@
 
 namespace wasabiwind::fleet_control {
 
-Publisher::Publisher(Sender sender, HeaderSource header, TableSource table)
+Publisher::Publisher(Sender sender, HeaderSource header, StateSource state)
     : m_sender(std::move(sender)),
       m_header(std::move(header)),
-      m_table(std::move(table)) {
+      m_state(std::move(state)) {
   m_log.m_epoch = base::MakeSeed() | 1;
 }
 
@@ -42,6 +42,7 @@
   FollowerState &follower = m_followers[from];
   follower.m_kind = request.has_control() ? fleet::FollowerKind::kControl
                                           : fleet::FollowerKind::kEntry;
+  follower.m_quarantine_version = request.quarantine_version();
   bool is_known_epoch = request.publisher_epoch() == m_log.m_epoch;
   RecordAcknowledged(&follower, is_known_epoch ? request.acked_number() : 0,
                      now);
@@ -105,7 +106,11 @@
   update->set_routes_version(header.m_routes_version);
   update->set_leader_term(header.m_leader_term);
   update->set_leader_endpoint(header.m_leader_endpoint);
-  if (wants_routes) *update->mutable_routes() = m_table();
+  const gen::StoredRouteTable &state = m_state();
+  if (wants_routes) *update->mutable_routes() = state.table();
+  if (state.quarantine().version() > follower->m_quarantine_version) {
+    *update->mutable_quarantine() = state.quarantine();
+  }
   follower->m_sent_number = update->last_number();
   follower->m_sent_header_number = m_header_number;
   follower->m_sent_at = now;
--- a/src/fleet_control/publisher.h
+++ b/src/fleet_control/publisher.h
@@ -30,9 +30,9 @@
   using Sender =
       std::function<void(const std::string &to, const gen::FleetMessage &)>;
   using HeaderSource = std::function<FactUpdateHeader()>;
-  using TableSource = std::function<const gen::RouteTable &()>;
+  using StateSource = std::function<const gen::StoredRouteTable &()>;
 
-  Publisher(Sender sender, HeaderSource header, TableSource table);
+  Publisher(Sender sender, HeaderSource header, StateSource state);
 
   /** Publishes a fact. @return whether it was new or changed */
   bool Put(gen::Fact fact);
@@ -91,6 +91,7 @@
     std::uint64_t m_acked_number = 0;  ///< of this publisher's epoch
     std::uint64_t m_sent_number = 0;
     std::uint64_t m_sent_header_number = 0;  ///< m_header_number when last sent
+    std::uint64_t m_quarantine_version = 0;  ///< that it has
     base::milliseconds m_resend_delay = kResendDelay;
     base::TimePoint m_progress_at;  ///< last acknowledgement or resend
     base::TimePoint m_heard_at;
@@ -110,7 +111,7 @@
 
   Sender m_sender;
   HeaderSource m_header;
-  TableSource m_table;
+  StateSource m_state;
   fleet::FactLog m_log;
   std::uint64_t m_header_number = 0;
   std::map<std::string, FollowerState> m_followers;  ///< by endpoint
--- a/src/fleet_control/route_state_machine.cpp
+++ b/src/fleet_control/route_state_machine.cpp
@@ -1,10 +1,12 @@
-/** @file route_state_machine.cpp Replicated state: the route table in force. */
+/** @file route_state_machine.cpp Replicated state: route table and quarantine.
+ */
 
 #include "fleet_control/route_state_machine.h"
 
 #include <zlib.h>
 
 #include "base/log_func.h"
+#include "fleet/quarantine_func.h"
 
 namespace wasabiwind::fleet_control {
 
@@ -37,23 +39,30 @@
   return document;
 }
 
-control::CommandOutcome RouteStateMachine::Apply(const std::string &command) {
-  gen::PutRouteTableCommand put;
+control::CommandOutcome RouteStateMachine::Apply(const std::string &bytes) {
+  gen::RouteCommand command;
   gen::ApplyReply reply;
-  if (!put.ParseFromString(command)) {
+  if (!command.ParseFromString(bytes)) {
     base::LogEvent(base::LogLevel::kError, "command_unreadable",
-                   {{"bytes", command.size()}});
-    reply.set_revision(GetVersion());
-    return reply;
-  }
-  if (put.stored().table().version() > GetVersion()) {
-    m_stored = std::move(*put.mutable_stored());
-    if (m_on_change) m_on_change();
+                   {{"bytes", bytes.size()}});
+  } else if (command.has_quarantine_change()) {
+    fleet::ApplyQuarantineChange(command.quarantine_change(),
+                                 m_stored.mutable_quarantine());
+    if (m_hooks.m_on_quarantine) m_hooks.m_on_quarantine();
+  } else {
+    PutTable(std::move(*command.mutable_stored()));
   }
   reply.set_revision(GetVersion());
   return reply;
 }
 
+void RouteStateMachine::PutTable(gen::StoredRouteTable stored) {
+  if (stored.table().version() <= GetVersion()) return;
+  *stored.mutable_quarantine() = std::move(*m_stored.mutable_quarantine());
+  m_stored = std::move(stored);
+  if (m_hooks.m_on_table) m_hooks.m_on_table();
+}
+
 std::function<std::string()> RouteStateMachine::PrepareSnapshot() const {
   return [stored = m_stored] { return stored.SerializeAsString(); };
 }
@@ -65,9 +74,14 @@
                            "the snapshot can't be parsed as a route table",
                            "replace this host's data folder");
   }
-  bool is_newer = stored.table().version() > GetVersion();
+  bool has_newer_table = stored.table().version() > GetVersion();
+  bool has_newer_quarantine =
+      stored.quarantine().version() > m_stored.quarantine().version();
   m_stored = std::move(stored);
-  if (is_newer && m_on_change) m_on_change();
+  if (has_newer_table && m_hooks.m_on_table) m_hooks.m_on_table();
+  if (has_newer_quarantine && m_hooks.m_on_quarantine) {
+    m_hooks.m_on_quarantine();
+  }
   return {};
 }
 
--- a/src/fleet_control/route_state_machine.h
+++ b/src/fleet_control/route_state_machine.h
@@ -1,4 +1,5 @@
-/** @file route_state_machine.h Replicated state: the route table in force. */
+/** @file route_state_machine.h Replicated state: route table and quarantine.
+ */
 
 #ifndef WASABIWIND_FLEET_CONTROL_ROUTE_STATE_MACHINE_H_
 #define WASABIWIND_FLEET_CONTROL_ROUTE_STATE_MACHINE_H_
@@ -20,19 +21,24 @@
 /** @return the decompressed document, or kCorrupt. */
 base::Result<std::string> ExpandDocument(const gen::StoredRouteTable &stored);
 
-/** Holds the table with the highest version. Not thread-safe. */
+/** Holds the table with the highest version and the prompt parts that are
+ * quarantined. Not thread-safe. */
 class RouteStateMachine : public control::ReplicatedStateMachine {
  public:
-  /** @param on_change called after the table in force has changed */
-  explicit RouteStateMachine(std::function<void()> on_change)
-      : m_on_change(std::move(on_change)) {}
+  /** Called after a change. */
+  struct Hooks {
+    std::function<void()> m_on_table;
+    std::function<void()> m_on_quarantine;
+  };
+
+  explicit RouteStateMachine(Hooks hooks) : m_hooks(std::move(hooks)) {}
 
   /**
    * Puts a table in force if its version is higher than the current one. Other
    * tables change nothing and succeed as well, so that a resent command has the
-   * same outcome.
+   * same outcome. Changes of the quarantine always apply.
    */
-  control::CommandOutcome Apply(const std::string &command) override;
+  control::CommandOutcome Apply(const std::string &bytes) override;
   std::function<std::string()> PrepareSnapshot() const override;
   base::Result<void> Restore(const std::string &bytes) override;
 
@@ -40,7 +46,9 @@
   std::uint64_t GetVersion() const { return m_stored.table().version(); }
 
  private:
-  std::function<void()> m_on_change;
+  void PutTable(gen::StoredRouteTable stored);
+
+  Hooks m_hooks;
   gen::StoredRouteTable m_stored;
 };
 
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -16,6 +16,7 @@
 #include "base/text_func.h"
 #include "fleet/message_endpoint_func.h"
 #include "fleet_control/publisher.h"
+#include "fleet_control/quarantine_controller.h"
 #include "fleet_control/registry.h"
 #include "fleet_control/replication_group.h"
 #include "fleet_control/residency_controller.h"
@@ -68,6 +69,7 @@
  private:
   ReplicationGroup::Hooks MakeReplicationHooks();
   ResidencyController::Hooks MakeResidencyHooks();
+  QuarantineController::Hooks MakeQuarantineHooks();
   void HandleCall(const net::HttpRequest &request, net::HttpExchange &exchange);
   net::HttpResponse HandleReport(const gen::UpstreamReport &report);
   net::HttpResponse HandlePut(const net::HttpRequest &request,
@@ -86,6 +88,7 @@
                           const gen::FleetMessage &message);
   void HandleFactUpdate(const std::string &from, const gen::FactUpdate &update);
   void OnTableChanged();
+  void OnQuarantineChanged();
   void RunTimer();
 
   gen::FleetControlSettings m_settings;
@@ -99,6 +102,7 @@
   std::unique_ptr<Registry> m_registry;
   std::unique_ptr<ReplicationGroup> m_group;
   std::unique_ptr<ResidencyController> m_residency;
+  std::unique_ptr<QuarantineController> m_quarantine;
   std::unique_ptr<net::HttpServer> m_server;
   std::unique_ptr<net::HttpServer> m_admin;
   bool m_is_stopped = false;
@@ -108,7 +112,8 @@
                            const ControlProtocol *protocol)
     : m_settings(std::move(settings)),
       m_protocol(protocol),
-      m_route_state([this] { OnTableChanged(); }),
+      m_route_state(RouteStateMachine::Hooks{
+          [this] { OnTableChanged(); }, [this] { OnQuarantineChanged(); }}),
       m_routes(routes::MakeRouteIndex(gen::RouteTable())) {
   m_self.set_name(m_settings.group().listen());
   m_self.set_endpoint(m_settings.network().message_address());
@@ -163,6 +168,23 @@
   return hooks;
 }
 
+QuarantineController::Hooks FleetControl::MakeQuarantineHooks() {
+  QuarantineController::Hooks hooks;
+  hooks.m_is_leader = [this](base::TimePoint now) {
+    return m_group->HoldsLease(now);
+  };
+  hooks.m_get_quarantine = [this]() -> const gen::PromptQuarantine & {
+    return m_route_state.GetStored().quarantine();
+  };
+  hooks.m_execute = [this](const gen::RouteCommand &command,
+                           base::TimePoint deadline) -> base::Result<void> {
+    auto outcome = m_group->Execute(command.SerializeAsString(), deadline);
+    if (!outcome) return tl::unexpected(outcome.error());
+    return {};
+  };
+  return hooks;
+}
+
 base::Result<void> FleetControl::Start() {
   const gen::FleetNetworkSettings &network = m_settings.network();
   base::Result<net::Endpoint> messages = net::ParseEndpoint(
@@ -185,8 +207,8 @@
                 ? ""
                 : m_group->GetEndpoint(m_group->GetLeader())};
       },
-      [this]() -> const gen::RouteTable & {
-        return m_route_state.GetStored().table();
+      [this]() -> const gen::StoredRouteTable & {
+        return m_route_state.GetStored();
       });
   m_registry = std::make_unique<Registry>(
       m_publisher.get(), &m_follower,
@@ -198,6 +220,7 @@
       base::milliseconds(m_settings.bounds().load_window_ms());
   m_residency = std::make_unique<ResidencyController>(
       m_settings.node().name(), residency, m_protocol, MakeResidencyHooks());
+  m_quarantine = std::make_unique<QuarantineController>(MakeQuarantineHooks());
   m_registry->RecordControl(m_self, base::Clock::now());
   base::Result<net::Endpoint> listen =
       net::ParseEndpoint(m_settings.group().listen());
@@ -230,6 +253,12 @@
   m_publisher->AnnounceHeader();
 }
 
+void FleetControl::OnQuarantineChanged() {
+  m_follower.m_quarantine_version =
+      m_route_state.GetStored().quarantine().version();
+  m_publisher->AnnounceHeader();
+}
+
 void FleetControl::Send(const std::string &to, gen::Envelope envelope) {
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(to);
   if (!endpoint) {
@@ -282,6 +311,7 @@
       return;
     case gen::FleetMessage::kUse:
       m_residency->HandleUseReport(message.use(), now);
+      m_quarantine->HandleUseReport(message.use(), now);
       return;
     case gen::FleetMessage::kJoin:
       m_group->HandleJoin(message.join(), now);
@@ -297,12 +327,13 @@
 
 void FleetControl::HandleFactUpdate(const std::string &from,
                                     const gen::FactUpdate &update) {
-  // A control host takes its route table only from the log.
-  gen::FactUpdate without_routes = update;
-  without_routes.clear_routes();
-  without_routes.set_routes_version(0);
-  fleet::FactUpdateResult result = fleet::HandleFactUpdate(
-      &m_follower, from, without_routes, base::Clock::now());
+  // A control host takes its route table and quarantine only from the log.
+  gen::FactUpdate facts = update;
+  facts.clear_routes();
+  facts.set_routes_version(0);
+  facts.clear_quarantine();
+  fleet::FactUpdateResult result =
+      fleet::HandleFactUpdate(&m_follower, from, facts, base::Clock::now());
   for (const fleet::OutMessage &out : result.m_messages) {
     SendFleetMessage(out.m_to, out.m_message);
   }
@@ -368,7 +399,7 @@
 
 net::HttpResponse FleetControl::StoreTable(const net::HttpRequest &request,
                                            const gen::RouteTable &table) {
-  gen::PutRouteTableCommand command;
+  gen::RouteCommand command;
   *command.mutable_stored()->mutable_table() = table;
   base::Result<std::string> compressed = CompressDocument(request.m_body);
   if (!compressed) return MakeErrorResponse(503, compressed.error());
@@ -460,6 +491,7 @@
   boost::fibers::fiber group([this] { m_group->Run(); });
   boost::fibers::fiber publisher([this] { m_publisher->Run(); });
   boost::fibers::fiber controller([this] { m_residency->Run(); });
+  boost::fibers::fiber quarantine([this] { m_quarantine->Run(); });
   boost::fibers::fiber timer([this] { RunTimer(); });
   boost::fibers::fiber settings([watch] { watch->Run(); });
   LogEvent(LogLevel::kInfo, "started",
@@ -470,12 +502,14 @@
   m_is_stopped = true;
   watch->Stop();
   m_residency->Stop();
+  m_quarantine->Stop();
   m_publisher->Stop();
   m_server->Stop();
   m_admin->Stop();
   m_group->Stop();
   m_transport->Stop();
   controller.join();
+  quarantine.join();
   publisher.join();
   settings.join();
   timer.join();
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -47,8 +47,11 @@
     EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
   } else if (error.m_kind == base::ErrorKind::kTimeout) {
     EndAttempt(scope, AttemptEnd::kTimedOut, "timeout");
+  } else if (scope->m_is_quarantined) {
+    EndAttempt(scope, AttemptEnd::kUnknown, kQuarantineReason);
   } else {
     EndAttempt(scope, AttemptEnd::kUnknown, "connection_lost");
+    scope->m_is_connection_lost = true;
   }
 }
 
@@ -76,7 +79,9 @@
   scope->m_sent_at = base::Clock::now();
   scope->m_splitter = EventSplitter();
   scope->m_event_count = 0;
+  scope->m_is_connection_lost = false;
   UpstreamStats &stats_before = m_stats[choice.m_upstream];
+  std::uint64_t runner_start_ms = stats_before.m_start_time_ms;
   ++stats_before.m_in_flight;
   stats_before.m_prefill_tokens += choice.m_prefill_tokens;
   ReportRunnerLoad(*scope, gen::LOAD_SENT);
@@ -87,6 +92,7 @@
   stats_after.m_in_flight = std::max(0, stats_after.m_in_flight - 1);
   stats_after.m_prefill_tokens -= std::min<std::uint64_t>(
       stats_after.m_prefill_tokens, choice.m_prefill_tokens);
+  RecordPromptOutcome(*scope, runner_start_ms);
   if (scope->m_attempt_end == AttemptEnd::kAnswered) return;
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", scope->m_metadata.m_id},
@@ -100,6 +106,25 @@
              base::ToMilliseconds(base::Clock::now() - scope->m_sent_at)}});
 }
 
+/** Records whether an attempt clears its prompt or makes it suspect. */
+void Gateway::RecordPromptOutcome(const RequestScope &scope,
+                                  std::uint64_t runner_start_ms) {
+  if (scope.m_part_keys.empty()) return;
+  bool is_answered =
+      scope.m_attempt_end == AttemptEnd::kAnswered && IsSuccess(scope.m_status);
+  if (is_answered || scope.m_event_count >= kSoundEventCount) {
+    RecordSoundPrompt(&m_prompt_evidence, scope.m_part_keys);
+    return;
+  }
+  if (!scope.m_is_connection_lost) return;
+  gen::LostPrompt prompt;
+  prompt.set_upstream(scope.m_upstream);
+  prompt.set_born_ms(runner_start_ms);
+  for (std::uint64_t part : scope.m_part_keys) prompt.add_parts(part);
+  RecordLostPrompt(&m_prompt_evidence, std::move(prompt), base::Clock::now());
+  m_is_use_report_urgent = true;
+}
+
 void Gateway::SendAndRelay(RequestScope *scope, const Choice &choice) {
   base::TimePoint now = base::Clock::now();
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(choice.m_address);
@@ -234,7 +259,11 @@
     EndAttempt(scope, AttemptEnd::kUnknown, "event_too_long");
     return false;
   }
+  bool was_sound = scope->m_event_count >= kSoundEventCount;
   scope->m_event_count += static_cast<int>(events.size());
+  if (!was_sound && scope->m_event_count >= kSoundEventCount) {
+    RecordSoundPrompt(&m_prompt_evidence, scope->m_part_keys);
+  }
   std::string text;
   std::optional<std::uint64_t> last = scope->m_last_event_id;
   for (const StreamEvent &event : events) {
@@ -312,6 +341,7 @@
   }
   if (!IsAtEventBoundary(scope->m_splitter) || !scope->m_is_head_sent) {
     EndAttempt(scope, AttemptEnd::kUnknown, "stream_incomplete");
+    scope->m_is_connection_lost = true;
     return;
   }
   (void)scope->m_exchange->EndStream();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -131,6 +132,36 @@
   SendAll(fleet::AnnounceToAll(&m_follower, base::Clock::now()));
 }
 
+void Gateway::AdoptQuarantine(const gen::PromptQuarantine &quarantine) {
+  m_quarantined_parts.clear();
+  for (const gen::QuarantinedPart &item : quarantine.parts()) {
+    if (!item.is_released()) m_quarantined_parts.insert(item.part());
+  }
+  LogEvent(LogLevel::kWarn, "quarantine_in_force",
+           {{"version", quarantine.version()},
+            {"parts", m_quarantined_parts.size()}});
+  CancelQuarantinedRequests();
+  m_view_changed.notify_all();
+}
+
+bool Gateway::IsPromptQuarantined(const RequestScope &scope) const {
+  return std::any_of(scope.m_part_keys.begin(), scope.m_part_keys.end(),
+                     [this](std::uint64_t part) {
+                       return m_quarantined_parts.contains(part);
+                     });
+}
+
+/** Ends requests that would crash their runner as soon as it answers them. */
+void Gateway::CancelQuarantinedRequests() {
+  for (RequestScope *scope : m_active_requests) {
+    bool is_waiting_for_event =
+        scope->m_call != nullptr && scope->m_event_count < kSoundEventCount;
+    if (!is_waiting_for_event || !IsPromptQuarantined(*scope)) continue;
+    scope->m_is_quarantined = true;
+    scope->m_call->Cancel();
+  }
+}
+
 void Gateway::HandleMessage(const std::string &from,
                             const gen::FleetMessage &message) {
   if (!message.has_news()) return;
@@ -138,6 +169,7 @@
   fleet::FactUpdateResult result = fleet::HandleFactUpdate(
       &m_follower, from, message.news(), base::Clock::now());
   if (result.m_routes) AdoptRoutes(from, &result);
+  if (result.m_quarantine) AdoptQuarantine(*result.m_quarantine);
   for (const std::string &id : result.m_changed_upstreams) {
     const gen::UpstreamReport &report =
         m_follower.m_view.m_upstreams[id].m_report;
@@ -226,7 +258,11 @@
   gen::FleetMessage message;
   gen::UseReport *report = message.mutable_use();
   AddUpstreamsInUse(report, now);
-  if (m_use_counts.m_targets.empty() && report->unreachable_size() == 0) return;
+  FillPromptEvidence(&m_prompt_evidence, report, now);
+  bool is_empty =
+      m_use_counts.m_targets.empty() && report->unreachable_size() == 0 &&
+      report->lost_prompts_size() == 0 && report->sound_parts_size() == 0;
+  if (is_empty) return;
   m_is_use_report_urgent = false;
   m_use_report_sent_at = now;
   TakeUseReport(&m_use_counts, report);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "fleet/follower_func.h"
 #include "gateway/choose_func.h"
 #include "gateway/directory_func.h"
+#include "gateway/prompt_evidence_func.h"
 #include "gateway/protocol_type.h"
 #include "gateway/runner_load_func.h"
 #include "gateway/use_func.h"
@@ -104,6 +105,8 @@
                    net::HttpCall *call, const net::HttpResponse &head);
   void RelayFullResponse(RequestScope *scope, const Choice &choice,
                          net::HttpCall *call, net::HttpResponse head);
+  void RecordPromptOutcome(const RequestScope &scope,
+                           std::uint64_t runner_start_ms);
   bool ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
                      const std::string &bytes);
   bool HasAlternative(const RequestScope &scope, const Choice &choice);
@@ -119,6 +122,9 @@
   void SendAll(const std::vector<fleet::OutMessage> &messages);
   void AdoptRoutes(const std::string &publisher,
                    fleet::FactUpdateResult *result);
+  void AdoptQuarantine(const gen::PromptQuarantine &quarantine);
+  bool IsPromptQuarantined(const RequestScope &scope) const;
+  void CancelQuarantinedRequests();
   void CancelAbandonedRequests();
   void ForgetStats();
   void SendUseReport(base::TimePoint now);
@@ -137,6 +143,8 @@
   routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
   StatsById m_stats;
   UseCounts m_use_counts;
+  PromptEvidence m_prompt_evidence;
+  absl::flat_hash_set<std::uint64_t> m_quarantined_parts;
   RunnerLoads m_runner_loads;  ///< of the runners that this host tracks
   std::map<std::uint64_t, PendingLoadQuery *> m_load_queries;  ///< by number
   std::uint64_t m_last_load_query = 0;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -9,6 +9,9 @@
 
 namespace wasabiwind::gateway {
 
+/** Reason of refusals because of a quarantined part of the prompt. */
+inline constexpr const char *kQuarantineReason = "prompt_quarantined";
+
 /** How an attempt ended. */
 enum class AttemptEnd : std::uint8_t {
   kAnswered,  ///< the caller has the whole answer
@@ -46,8 +49,12 @@
   // The attempt in progress.
   net::HttpCall *m_call = nullptr;
   AttemptEnd m_attempt_end = AttemptEnd::kUnknown;
-  int m_event_count = 0;  ///< whole events of a stream
-  std::string m_reason;   ///< why the attempt failed
+  int m_event_count = 0;              ///< whole events of a stream
+  bool m_is_connection_lost = false;  ///< before the end of the answer
+  std::string m_reason;               ///< why the attempt failed
+
+  /** It was cancelled because a part of its prompt is quarantined. */
+  bool m_is_quarantined = false;
 
   // Outcome, for the log.
   bool m_is_caller_gone = false;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -28,6 +28,8 @@
 constexpr base::milliseconds kRetryAfter{250};
 /** Longer, because the model may have to be loaded from the weight store. */
 constexpr base::milliseconds kModelRetryAfter{3'500};
+/** A quarantine lasts for minutes. */
+constexpr base::milliseconds kQuarantineRetryAfter{60'000};
 constexpr base::milliseconds kDefaultCallerTimeout{30'000};
 /** Longest wait for the first route table, also as share of the timeout. */
 constexpr base::milliseconds kMaxStartWait{3'000};
@@ -70,6 +72,12 @@
               .count());
 }
 
+base::milliseconds GetRetryAfter(const std::string &reason) {
+  if (reason == kQuarantineReason) return kQuarantineRetryAfter;
+  bool is_model_missing = reason == GetProblemName(ChoiceProblem::kNoModel);
+  return is_model_missing ? kModelRetryAfter : kRetryAfter;
+}
+
 std::uint64_t HashRequestId(const std::string &id) {
   return XXH3_64bits(id.data(), id.size());
 }
@@ -203,6 +211,11 @@
       FinishUnanswered(scope);
       return;
     }
+    if (IsPromptQuarantined(*scope)) {
+      scope->m_reason = kQuarantineReason;
+      FinishUnanswered(scope);
+      return;
+    }
     Choice choice = ChooseByRunnerLoad(scope, now);
     if (choice.m_problem != ChoiceProblem::kNone) {
       if (WaitForChoice(scope, choice.m_problem)) continue;
@@ -229,6 +242,7 @@
         ++scope->m_possible_run_count;
         break;
     }
+    if (IsPromptQuarantined(*scope)) continue;
     scope->m_excluded.insert(choice.m_upstream);
     if (!MayRetry(scope, scope->m_reason.c_str())) {
       FinishUnanswered(scope);
@@ -303,10 +317,7 @@
   details.m_request_id = scope->m_metadata.m_id;
   details.m_reason = reason;
   details.m_message = message;
-  bool is_model_missing = reason == GetProblemName(ChoiceProblem::kNoModel);
-  if (status == 503) {
-    details.m_retry_after = is_model_missing ? kModelRetryAfter : kRetryAfter;
-  }
+  if (status == 503) details.m_retry_after = GetRetryAfter(reason);
   scope->m_status = status;
   scope->m_outcome = "refused";
   scope->m_reason = reason;
--- a/tests/fleet_control_publisher_test.cpp
+++ b/tests/fleet_control_publisher_test.cpp
@@ -26,7 +26,7 @@
               m_sent.emplace_back(to, message.news());
             },
             [] { return FactUpdateHeader{}; },
-            [this]() -> const gen::RouteTable & { return m_table; }) {}
+            [this]() -> const gen::StoredRouteTable & { return m_state; }) {}
 
   gen::FollowRequest MakeRequest(std::uint64_t acked) const {
     gen::FollowRequest request;
@@ -36,7 +36,7 @@
     return request;
   }
 
-  gen::RouteTable m_table;
+  gen::StoredRouteTable m_state;
   std::vector<std::pair<std::string, gen::FactUpdate>> m_sent;
   Publisher m_publisher;
 };
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -274,6 +274,21 @@
       HandleFactUpdate(&follower, kA, MakeAnnouncement(3), At(1'910))));
 }
 
+// An older quarantine must not replace a newer one: it would admit requests
+// that crash runners.
+TEST(FollowerTest, AdoptsOnlyANewerQuarantineAndStatesItsVersion) {
+  Follower follower;
+  gen::FactUpdate update = MakeAnnouncement(0);
+  update.mutable_quarantine()->set_version(3);
+  FactUpdateResult first = HandleFactUpdate(&follower, kA, update, At(1'000));
+  ASSERT_TRUE(first.m_quarantine.has_value());
+  ASSERT_EQ(first.m_messages.size(), 1u);
+  EXPECT_EQ(first.m_messages[0].m_message.follow().quarantine_version(), 3u);
+  EXPECT_FALSE(HandleFactUpdate(&follower, kB, update, At(1'010)).m_quarantine);
+  update.mutable_quarantine()->set_version(2);
+  EXPECT_FALSE(HandleFactUpdate(&follower, kB, update, At(1'020)).m_quarantine);
+}
+
 TEST(FollowerTest, FollowsSeedsAndKnownHostsOncePerPeriod) {
   Follower follower;
   follower.m_own_endpoint = kB;
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -159,7 +159,9 @@
   explicit Harness(std::vector<Script> scripts)
       : m_protocol(platform::MakeGatewayProtocol()),
         m_gateway(MakeSettings(), &m_protocol,
-                  [](const std::string &, const gen::FleetMessage &) {}) {
+                  [this](const std::string &, const gen::FleetMessage &sent) {
+                    if (sent.has_use()) m_use_reports.push_back(sent.use());
+                  }) {
     for (Script &script : scripts) {
       m_runners.push_back(std::make_unique<FakeRunner>(std::move(script)));
     }
@@ -183,6 +185,9 @@
       report->set_address(m_runners[i]->Address());
       report->set_slots(4);
     }
+    gen::ControlHost *control = fact_update->add_facts()->mutable_control();
+    control->set_name("core-1");
+    control->set_endpoint(kPublisher);
     gen::UpstreamReport *engine = fact_update->add_facts()->mutable_upstream();
     engine->set_id("i-without-models");
     engine->set_born_ms(5);
@@ -201,7 +206,8 @@
   }
 
   void Call(const std::string &path, FakeExchange *exchange,
-            const std::string &caller_timeout_ms = "1200") {
+            const std::string &caller_timeout_ms = "1200",
+            const std::string &prompt_parts = "") {
     net::HttpRequest request;
     request.m_method = "POST";
     request.m_target = path + "x";
@@ -209,10 +215,25 @@
     request.m_headers.Add("X-Wasabiwind-Request-Id", "r1");
     request.m_headers.Add("X-Wasabiwind-Deadline-Ms", caller_timeout_ms);
     request.m_headers.Add("X-Wasabiwind-Model", "m1");
+    if (!prompt_parts.empty()) {
+      request.m_headers.Add("X-Wasabiwind-Prefix-Hash", prompt_parts);
+    }
     request.m_body = "{}";
     m_gateway.HandleCaller(request, *exchange);
   }
 
+  /** Quarantines parts at the gateway, as control hosts do. */
+  void Quarantine(const std::vector<std::uint64_t> &parts) {
+    gen::FleetMessage message;
+    gen::FactUpdate *update = message.mutable_news();
+    update->set_publisher_epoch(1);
+    update->mutable_quarantine()->set_version(++m_quarantine_version);
+    for (std::uint64_t part : parts) {
+      update->mutable_quarantine()->add_parts()->set_part(part);
+    }
+    m_gateway.HandleMessage(kPublisher, message);
+  }
+
   int CountCalls() const {
     int calls = 0;
     for (const auto &runner : m_runners) calls += runner->m_calls;
@@ -220,6 +241,8 @@
   }
 
   GatewayProtocol m_protocol;
+  std::vector<gen::UseReport> m_use_reports;
+  std::uint64_t m_quarantine_version = 0;
   Gateway m_gateway;
   std::vector<std::unique_ptr<FakeRunner>> m_runners;
   boost::fibers::fiber m_timers;
@@ -442,5 +465,117 @@
   });
 }
 
+/** @return the keys of the shared parts of a prompt. */
+std::vector<std::uint64_t> GetPartKeys(const std::vector<std::string> &ids) {
+  RequestMetadata metadata;
+  for (const std::string &id : ids) metadata.m_parts.push_back({id, 100});
+  metadata.m_parts.push_back({"own", 10});
+  return MakePartKeys(metadata);
+}
+
+// Nothing related a crash of a runner to the prompts that it was reading.
+TEST(GatewayRequestTest, PromptLostWithItsRunnerIsReported) {
+  RunWith({[](int, const net::HttpRequest &, net::HttpExchange &exchange) {
+            exchange.Abort();
+          }},
+          [](Harness *harness) {
+            FakeExchange exchange;
+            harness->Call("/once-flow/", &exchange, "1200",
+                          "aa:100,bb:100,own:9");
+            net::SleepFor(milliseconds(200));
+            ASSERT_FALSE(harness->m_use_reports.empty());
+            const gen::UseReport &report = harness->m_use_reports.back();
+            ASSERT_EQ(report.lost_prompts_size(), 1);
+            const gen::LostPrompt &lost = report.lost_prompts(0);
+            EXPECT_EQ(lost.upstream(), "i-0");
+            EXPECT_EQ(lost.born_ms(), 5u);
+            std::vector<std::uint64_t> parts(lost.parts().begin(),
+                                             lost.parts().end());
+            EXPECT_EQ(parts, GetPartKeys({"aa", "bb"}));
+          });
+}
+
+// A stream that breaks after some events shows that its prompt is sound; only
+// the prompts that wait on a crashed runner are suspect.
+TEST(GatewayRequestTest, PromptOfABrokenStreamWithEventsIsReportedAsSound) {
+  RunWith(
+      {[](int, const net::HttpRequest &request, net::HttpExchange &exchange) {
+        SendEvents(request, exchange, 1, 3);
+        net::SleepFor(milliseconds(30));
+        exchange.Abort();
+      }},
+      [](Harness *harness) {
+        FakeExchange exchange;
+        harness->Call("/once-flow/", &exchange, "1200", "aa:100,own:9");
+        net::SleepFor(milliseconds(600));
+        std::set<std::uint64_t> sound;
+        for (const gen::UseReport &report : harness->m_use_reports) {
+          EXPECT_EQ(report.lost_prompts_size(), 0);
+          sound.insert(report.sound_parts().begin(),
+                       report.sound_parts().end());
+        }
+        EXPECT_EQ(sound.count(GetPartKeys({"aa"}).front()), 1u);
+      });
+}
+
+// Requests with a part that crashes runners went on to reach runners.
+TEST(GatewayRequestTest, PromptWithAQuarantinedPartIsRefusedAsNotRun) {
+  RunWith(
+      {[](int, const net::HttpRequest &request, net::HttpExchange &exchange) {
+        SendEvents(request, exchange, 1, 3);
+        (void)exchange.EndStream();
+      }},
+      [](Harness *harness) {
+        harness->Quarantine(GetPartKeys({"bb"}));
+        FakeExchange refused;
+        harness->Call("/flow/", &refused, "1200", "aa:100,bb:100,own:9");
+        EXPECT_EQ(refused.m_status, 503);
+        EXPECT_NE(refused.m_headers.Find("Retry-After"), nullptr);
+        EXPECT_EQ(harness->CountCalls(), 0);
+        // Requests that share other parts, or have it as their own last part,
+        // go on.
+        for (const char *parts :
+             {"aa:100,cc:100,own:9", "aa:100,bb:9", "bb:9"}) {
+          FakeExchange served;
+          harness->Call("/flow/", &served, "1200", parts);
+          EXPECT_EQ(served.m_status, 200) << parts;
+        }
+        harness->Quarantine({});
+        FakeExchange released;
+        harness->Call("/flow/", &released, "1200", "aa:100,bb:100,own:9");
+        EXPECT_EQ(released.m_status, 200);
+      });
+}
+
+// A request that is on a runner when its part is quarantined would crash it.
+TEST(GatewayRequestTest, WaitingRequestWithAQuarantinedPartIsCancelled) {
+  bool has_seen_disconnect = false;
+  Script wait = [&has_seen_disconnect](int, const net::HttpRequest &,
+                                       net::HttpExchange &exchange) {
+    for (int i = 0; i < 100 && !has_seen_disconnect; ++i) {
+      net::SleepFor(milliseconds(10));
+      has_seen_disconnect = exchange.IsPeerGone();
+    }
+    exchange.Abort();
+  };
+  RunWith({wait, wait}, [&has_seen_disconnect](Harness *harness) {
+    FakeExchange exchange;
+    boost::fibers::fiber control([harness] {
+      net::SleepFor(milliseconds(100));
+      harness->Quarantine(GetPartKeys({"bb"}));
+    });
+    harness->Call("/flow/", &exchange, "1200", "aa:100,bb:100,own:9");
+    control.join();
+    // It may have run, and must not go on to the other runner.
+    EXPECT_EQ(exchange.m_status, 502);
+    EXPECT_EQ(harness->CountCalls(), 1);
+    net::SleepFor(milliseconds(200));
+    EXPECT_TRUE(has_seen_disconnect);
+    for (const gen::UseReport &report : harness->m_use_reports) {
+      EXPECT_EQ(report.lost_prompts_size(), 0);
+    }
+  });
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
