End a broken stream when it is continued by an error

Cause: events without an ID were passed on, although each event of a stream has one, so that text of a signed answer with status 200 went into the stream. A continuation without a single new event counted as the rest of the stream, because the stream's head had been sent by the attempt before.

Change: an event without an ID ends the attempt, and a stream is complete only after an attempt that sent its caller an event. A caller that has all events but not their end gets a broken stream rather than a false end.

--- a/src/entry/engine_relay.cpp
+++ b/src/entry/engine_relay.cpp
@@ -207,9 +207,8 @@
   bool may_have_run_before = m_scope->m_may_have_run;
   m_scope->m_may_have_run = true;
   m_scope->m_cancel = [call = start.m_call.get()] { call->Cancel(); };
-  AttemptEnd end = m_scope->m_is_caller_gone
-                       ? AttemptEnd::kCallerGone
-                       : ReadAnswer(start, attempt_id);
+  AttemptEnd end = m_scope->m_is_caller_gone ? AttemptEnd::kCallerGone
+                                             : ReadAnswer(start, attempt_id);
   m_scope->m_cancel = nullptr;
   if (end == AttemptEnd::kAnswered) return end;
   if (end == AttemptEnd::kFailed &&
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -91,6 +91,7 @@
   scope->m_sent_at = base::Clock::now();
   scope->m_splitter = EventSplitter();
   scope->m_event_count = 0;
+  scope->m_has_forwarded_event = false;
   scope->m_is_connection_lost = false;
   UpstreamStats &stats_before = m_stats[choice.m_upstream];
   std::uint64_t runner_start_ms = stats_before.m_start_time_ms;
@@ -281,14 +282,16 @@
   std::string text;
   std::optional<std::uint64_t> last = scope->m_last_event_id;
   for (const StreamEvent &event : events) {
-    if (event.m_id && last) {
-      if (*event.m_id <= *last) continue;
-      if (*event.m_id != *last + 1) {
-        EndAttempt(scope, AttemptEnd::kUnknown, "event_missing");
-        return false;
-      }
+    if (!event.m_id) {
+      EndAttempt(scope, AttemptEnd::kUnknown, "event_without_id");
+      return false;
+    }
+    if (last && *event.m_id <= *last) continue;
+    if (last && *event.m_id != *last + 1) {
+      EndAttempt(scope, AttemptEnd::kUnknown, "event_missing");
+      return false;
     }
-    if (event.m_id) last = event.m_id;
+    last = event.m_id;
     text += event.m_text;
   }
   if (text.empty()) return true;
@@ -305,6 +308,7 @@
     return false;
   }
   scope->m_last_event_id = last;
+  scope->m_has_forwarded_event = true;
   return true;
 }
 
@@ -353,7 +357,7 @@
     }
     if (!ForwardEvents(scope, head, bytes)) return;
   }
-  if (!IsAtEventBoundary(scope->m_splitter) || !scope->m_is_head_sent) {
+  if (!IsAtEventBoundary(scope->m_splitter) || !scope->m_has_forwarded_event) {
     EndAttempt(scope, AttemptEnd::kUnknown, "stream_incomplete");
     scope->m_is_connection_lost = true;
     return;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -49,7 +49,9 @@
   // The attempt in progress.
   net::HttpCall *m_call = nullptr;
   AttemptEnd m_attempt_end = AttemptEnd::kUnknown;
-  int m_event_count = 0;              ///< whole events of a stream
+  int m_event_count = 0;  ///< whole events of a stream
+  /** The caller got an event from it; without one a stream isn't complete. */
+  bool m_has_forwarded_event = false;
   bool m_is_connection_lost = false;  ///< before the end of the answer
   std::string m_reason;               ///< why the attempt failed
 
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -52,6 +52,21 @@
   return text;
 }
 
+std::string Chunk(const std::string &text) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
+  return size + text + "\r\n";
+}
+
+/** Begins a chunked stream with two events and breaks it off inside a third. */
+bool BreakStream(const std::string &request, const RawConnection &connection) {
+  connection.Write(SignedHead(request, "200 OK") +
+                   "Transfer-Encoding: chunked\r\n\r\n" + Chunk(Events(1, 2)) +
+                   Chunk("id: 3\nda"));
+  std::this_thread::sleep_for(milliseconds(30));
+  return false;
+}
+
 // A refusal that a faulty upstream wrote once more was taken for the answer to
 // the next request on the connection, although that one ran.
 TEST(GatewayFaultyRunnerTest, RepeatedRefusalIsNotTheAnswerToTheNextRequest) {
@@ -111,6 +126,78 @@
   EXPECT_EQ(requests_after_refusal, 0);
 }
 
+/** What the second runner answers when a broken stream is to go on there. */
+struct WrongContinuation {
+  const char *m_name;
+  std::function<std::string(const std::string &request)> m_answer;
+};
+
+std::vector<WrongContinuation> MakeWrongContinuations() {
+  return {
+      {"server error",
+       [](const std::string &request) {
+         return SignedAnswer(request, "500 Internal Server Error",
+                             "it failed\n\n");
+       }},
+      {"caller error",
+       [](const std::string &request) {
+         return SignedAnswer(request, "400 Bad Request", "bad request\n\n");
+       }},
+      {"refusal", [](const std::string &) { return std::string(kNotRun); }},
+      {"success without events",
+       [](const std::string &request) {
+         return SignedAnswer(request, "200 OK", "");
+       }},
+      {"error text as an event",
+       [](const std::string &request) {
+         return SignedAnswer(request, "200 OK",
+                             "{\"error\": \"out of memory\"}\n\n");
+       }},
+      {"head of an error as an event",
+       [](const std::string &request) {
+         return SignedAnswer(request, "200 OK",
+                             "HTTP/1.1 500 Internal Server Error\r\n"
+                             "Content-Length: 0\r\n\r\n");
+       }},
+      {"events from the start on, without the missing ones",
+       [](const std::string &request) {
+         return SignedAnswer(request, "200 OK", Events(1, 2));
+       }},
+      {"a gap",
+       [](const std::string &request) {
+         return SignedAnswer(request, "200 OK", Events(5, 6));
+       }},
+      {"no answer in the protocol",
+       [](const std::string &) { return std::string("noise\r\n\r\n"); }},
+  };
+}
+
+// A stream had begun and broke off, and the next runner answered with an error:
+// its text went into the stream, or the stream ended as if it were complete.
+TEST(GatewayFaultyRunnerTest, BrokenStreamIsNotContinuedByAnError) {
+  for (const WrongContinuation &wrong : MakeWrongContinuations()) {
+    SCOPED_TRACE(wrong.m_name);
+    auto serve = [&wrong](int, const std::string &request,
+                          const RawConnection &connection) {
+      if (GetRawHeader(request, "Last-Event-Id").empty()) {
+        return BreakStream(request, connection);
+      }
+      connection.Write(wrong.m_answer(request));
+      return false;
+    };
+    RawRunner first(serve);
+    RawRunner second(serve);
+    RunWithRaw({&first, &second}, [&](Harness *harness) {
+      FakeExchange exchange;
+      harness->Call("/flow/", &exchange);
+      EXPECT_GE(first.CountCalls() + second.CountCalls(), 2);
+      EXPECT_EQ(exchange.m_body, Events(1, 2));
+      EXPECT_TRUE(exchange.m_is_aborted);
+      EXPECT_FALSE(exchange.m_is_complete);
+    });
+  }
+}
+
 // An answer may end with its connection; a reset, or an end inside an event, is
 // not its end.
 TEST(GatewayFaultyRunnerTest, AnswerWithoutLengthEndsWithItsConnection) {
