Cut off an upstream that sends bytes without end

Callers of such an upstream got no answer, and all others of the entry host were slowed or cut off when it ran out of memory.

Cause: a read had a deadline only while it waited. A peer that sends without pause never lets it wait, so neither the deadline of the request nor that of the caller was ever looked at. The size of a chunk, or a trailer, whose end never comes was kept and parsed from its start again with each read.

Change: a read whose deadline has passed fails, also if bytes are there, for clients and servers alike. A client keeps at most 128 KiB that it can't parse yet.

Measured: GatewayFaultyRunnerTest.BytesWithoutEndAreCutOff sends 14 kinds of bytes without end to three kinds of routes, with a deadline of 0.8 s.

--- a/src/net/deadline_socket.cpp
+++ b/src/net/deadline_socket.cpp
@@ -114,6 +114,10 @@
 
 IoResult DeadlineSocket::ReadSome(asio::mutable_buffer buffer,
                                   base::TimePoint deadline) {
+  // A peer that sends without pause never lets a read wait.
+  if (base::Clock::now() >= deadline) {
+    return IoResult{boost::beast::error::timeout, 0};
+  }
   BeginWait(deadline);
   return EndWait(Await([&](auto handler) {
     m_socket.async_read_some(asio::buffer(buffer), handler);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -30,6 +30,9 @@
 using ResponseParser = http::response_parser<http::string_body>;
 
 constexpr std::size_t kReadChunkBytes = 8 * 1024;
+/** Most bytes that are kept until they can be parsed: the end of a chunk's size
+ * or of a trailer may never come. */
+constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
 constexpr const char *kReadAction = "read answer of";
 
 base::Error MakeIoError(const beast::error_code &error, const char *action,
@@ -254,6 +257,7 @@
   /** Receives bytes. The end of the connection may be the end of the body. */
   beast::error_code ReceiveMore(base::TimePoint deadline) {
     beast::flat_buffer &buffer = m_connection->m_buffer;
+    if (buffer.size() >= kMaxUnparsedBytes) return http::error::buffer_overflow;
     IoResult result = m_connection->m_socket.ReadSome(
         buffer.prepare(kReadChunkBytes), deadline);
     buffer.commit(result.m_size);
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -237,5 +237,70 @@
   }
 }
 
+/** @return the resident memory of this process in bytes. */
+std::size_t GetResidentBytes() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+// Bytes that are no answer may come without end, in a head or a body, until the
+// caller closes: memory must stay bounded, and the request must end.
+TEST(GatewayFaultyRunnerTest, BytesWithoutEndAreCutOff) {
+  struct Case {
+    const char *m_name;
+    std::string m_start;  ///< after the signed head, if any
+    std::string m_repeated;
+    bool m_has_head;
+  };
+  std::string block(16 * 1024, 'x');
+  std::vector<Case> cases = {
+      {"no line end", "", block, false},
+      {"status line", "HTTP/1.1 200 ", block, false},
+      {"header", "HTTP/1.1 200 OK\r\nX-A: ", block, false},
+      {"many headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", false},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", false},
+      {"body without length", "\r\n", block, true},
+      {"lines without an event", "\r\n", "data: x\n", true},
+      {"empty lines", "\r\n", "\n", true},
+      {"events without an ID", "\r\n", "data: x\n\n", true},
+      {"events with one ID", "\r\n", "id: 1\ndata: x\n\n", true},
+      {"chunk size", "Transfer-Encoding: chunked\r\n\r\n", "0000", true},
+      {"chunk extension", "Transfer-Encoding: chunked\r\n\r\n5;", block, true},
+      {"trailers", "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n",
+       true},
+      {"one trailer", "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", block,
+       true},
+  };
+  for (const char *path : {"/once/", "/once-flow/", "/flow/"}) {
+    for (const Case &item : cases) {
+      SCOPED_TRACE(std::string(path) + " " + item.m_name);
+      auto serve = [&item](int, const std::string &request,
+                           const RawConnection &connection) {
+        std::string start = item.m_start;
+        if (item.m_has_head) start = SignedHead(request, "200 OK") + start;
+        std::string repeated;
+        while (repeated.size() < 16 * 1024) repeated += item.m_repeated;
+        if (connection.Write(start)) connection.WriteWithoutEnd(repeated);
+        return false;
+      };
+      RawRunner first(serve);
+      RawRunner second(serve);
+      RunWithRaw({&first, &second}, [path](Harness *harness) {
+        std::size_t before = GetResidentBytes();
+        base::TimePoint start = base::Clock::now();
+        FakeExchange exchange;
+        harness->Call(path, &exchange, "800");
+        EXPECT_LT(base::Clock::now() - start, milliseconds(1'300));
+        EXPECT_FALSE(exchange.m_status == 200 && exchange.m_is_complete);
+        EXPECT_LT(exchange.m_body.size(), 128u * 1024);
+        EXPECT_LT(GetResidentBytes(), before + (64u << 20));
+      });
+    }
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
--- a/tests/raw_runner.h
+++ b/tests/raw_runner.h
@@ -78,7 +78,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    ::listen(m_listener, 16);
+    ::listen(m_listener, SOMAXCONN);
     socklen_t size = sizeof(address);
     ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
