Bound the memory of all answers that an entry host reads at once

Callers would have been cut off when the entry host's process ended for its memory.

Cause: an answer without end was bounded to 16 MiB, but each of the answers that are read at the same time may grow as far; 24 of them take 390 MiB, more than an entry host has.

Change: all answers that are being read share a bound of 48 MiB. The one that reaches it ends as answer_too_long.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -17,6 +17,8 @@
 /** Limit for connecting to the upstream and sending the request. */
 constexpr base::milliseconds kSendTimeout{1'500};
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
+/** For all answers that are being read at the same time. */
+constexpr std::size_t kMaxTotalBodyBytes = 48 << 20;
 /** An answer is late after this multiple of the expected latency, but not
  * before kMinLateAnswerTime. */
 constexpr int kLateAnswerFactor = 4;
@@ -64,6 +66,24 @@
              static_cast<int>(scope.m_route->max_attempts());
 }
 
+/** Adds the size of one buffer to a total while it is in scope. */
+class BufferedBytesGuard {
+ public:
+  explicit BufferedBytesGuard(std::size_t *total) : m_total(total) {}
+  ~BufferedBytesGuard() { *m_total -= m_size; }
+  BufferedBytesGuard(const BufferedBytesGuard &) = delete;
+  BufferedBytesGuard &operator=(const BufferedBytesGuard &) = delete;
+
+  void Update(std::size_t size) {
+    *m_total += size - m_size;
+    m_size = size;
+  }
+
+ private:
+  std::size_t *m_total;
+  std::size_t m_size = 0;
+};
+
 /**
  * @return whether a response answers the request that was just sent. Errors may
  *         lack an ID, but on a connection that was used before they may be a
@@ -369,6 +389,7 @@
 
 void Gateway::RelayFullResponse(RequestScope *scope, const Choice &choice,
                                 net::HttpCall *call, net::HttpResponse head) {
+  BufferedBytesGuard buffered{&m_buffered_body_bytes};
   while (true) {
     base::Result<bool> more = call->ReadSome(&head.m_body, scope->m_deadline);
     if (!more) {
@@ -380,7 +401,9 @@
       return;
     }
     if (!*more) break;
-    if (head.m_body.size() > kMaxBodyBytes) {
+    buffered.Update(head.m_body.size());
+    if (head.m_body.size() > kMaxBodyBytes ||
+        m_buffered_body_bytes > kMaxTotalBodyBytes) {
       EndAttempt(scope, AttemptEnd::kUnknown, "answer_too_long");
       return;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -155,6 +155,7 @@
 
   std::unique_ptr<net::HttpClientPool> m_client;
   std::set<RequestScope *> m_active_requests;
+  std::size_t m_buffered_body_bytes = 0;  ///< of answers that are being read
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_view_changed;
   base::TimePoint m_use_report_sent_at;
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -302,5 +302,38 @@
   }
 }
 
+// Several such answers at the same time must not end the process either.
+TEST(GatewayFaultyRunnerTest, ManyBodiesWithoutEndHaveOneBound) {
+  constexpr int kCallers = 24;
+  RawRunner runner(
+      [](int, const std::string &request, const RawConnection &connection) {
+        std::string block(16 * 1024, 'x');
+        if (connection.Write(SignedHead(request, "200 OK") + "\r\n")) {
+          connection.WriteWithoutEnd(block);
+        }
+        return false;
+      });
+  RunWithRaw({&runner}, [](Harness *harness) {
+    std::size_t before = GetResidentBytes();
+    std::size_t highest = before;
+    int running = kCallers;
+    std::vector<boost::fibers::fiber> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back([harness, &running] {
+        FakeExchange exchange;
+        harness->Call("/once/", &exchange, "1000");
+        EXPECT_EQ(exchange.m_status, 502);
+        --running;
+      });
+    }
+    while (running > 0) {
+      net::SleepFor(milliseconds(5));
+      highest = std::max(highest, GetResidentBytes());
+    }
+    for (boost::fibers::fiber &caller : callers) caller.join();
+    EXPECT_LT(highest, before + (128u << 20));
+  });
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
