Soak series of changes and prompts that crash runners

Its changes were 1.5 s apart, and it didn't check tables while any control host was affected by a fault; it had no prompt that crashes runners.

Change: two of three seeds start with a further phase of 12 s: changes 150 ms apart while one control host can't write and so is behind but reachable, or prompts with a part that crashes each runner that answers them. A table must be in force after 8.5 s while faults affect one control host. New guarantee: at most three requests with such a part reach runners from 4 s after the fifth crash. The test of all kinds of faults names the one that is missing.

--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint64_t kRequestsPerNewConnection = 8;  ///< mean
 constexpr std::uint64_t kRequestsPerAbandonment = 15;   ///< mean
 constexpr int kMaxRedirects = 2;
+constexpr std::uint64_t kPromptsPerCrashingPrompt = 12;  ///< mean
 constexpr std::uint32_t kPromptTokens = 400;
 constexpr std::uint32_t kOutputTokens = 32;
 
@@ -128,6 +129,11 @@
         unit * unit * static_cast<double>(m_options.m_models.size()));
     request.m_model = m_options.m_models[number];
     request.m_prompt_tokens = kPromptTokens;
+    request.m_prompt_parts = {"a1", "b2", "c3", request.m_id};
+    bool is_crashing =
+        m_monitor->m_sends_crashing_prompts &&
+        NextRandomBelow(&m_random, kPromptsPerCrashingPrompt) == 0;
+    if (is_crashing) request.m_prompt_parts[1] = Monitor::kCrashingPart;
     request.m_output_tokens = kOutputTokens;
     request.m_caller_timeout = kStreamCallerTimeout;
   }
@@ -228,8 +234,11 @@
 }
 
 /** Routes /move/ to the service that the new version selects. */
-std::string Operator::MakeNextDocument(std::uint64_t *version) {
-  m_table.set_version(m_table.version() + 1 + NextRandomBelow(&m_random, 3));
+std::string Operator::MakeNextDocument(bool keeps_route,
+                                       std::uint64_t *version) {
+  std::uint64_t step = keeps_route ? Monitor::kMovingServices
+                                   : 1 + NextRandomBelow(&m_random, 3);
+  m_table.set_version(m_table.version() + step);
   *version = m_table.version();
   for (gen::Route &route : *m_table.mutable_routes()) {
     if (route.path_prefix() != "/move/") continue;
@@ -239,9 +248,9 @@
   return m_protocol->m_encode_table(m_table);
 }
 
-bool Operator::PutNextTable(TimePoint deadline) {
+bool Operator::PutNextTable(TimePoint deadline, bool keeps_route) {
   std::uint64_t version = 0;
-  std::string document = MakeNextDocument(&version);
+  std::string document = MakeNextDocument(keeps_route, &version);
   m_monitor->RecordSentTable(version, document);
   while (Clock::now() < deadline) {
     Reply reply = Call(m_protocol->m_encode_put_table(document));
--- a/soak/client.h
+++ b/soak/client.h
@@ -80,7 +80,7 @@
    * Puts the next version, with retries until the deadline.
    * @return whether it was acknowledged
    */
-  bool PutNextTable(base::TimePoint deadline);
+  bool PutNextTable(base::TimePoint deadline, bool keeps_route = false);
 
   /** Sends an invalid table; it must be refused. */
   void PutInvalidTable();
@@ -94,7 +94,7 @@
     std::string m_body;
   };
   Reply Call(const net::HttpRequest &request);
-  std::string MakeNextDocument(std::uint64_t *version);
+  std::string MakeNextDocument(bool keeps_route, std::uint64_t *version);
 
   const Addresses *m_addresses;
   const SoakProtocol *m_protocol;
--- a/soak/fake_runner.cpp
+++ b/soak/fake_runner.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/fiber/fiber.hpp>
 
 #include "base/log_func.h"
@@ -28,6 +29,8 @@
 constexpr milliseconds kOrderDelay{1'500};
 /** How long a leaving runner serves after its drain time. */
 constexpr milliseconds kServeAfterDrain{300};
+/** After a crash that a prompt causes. */
+constexpr milliseconds kRestartTime{1'500};
 constexpr int kSlowFactor = 10;
 constexpr int kSlots = 32;
 
@@ -321,6 +324,10 @@
     return;
   }
   m_monitor->RecordForwardedRequest(m_id, forwarded.m_id);
+  const std::vector<std::string> &parts = forwarded.m_prompt_parts;
+  bool is_crashing = std::find(parts.begin(), parts.end(),
+                               Monitor::kCrashingPart) != parts.end();
+  if (is_crashing) m_monitor->RecordCrashingPrompt(forwarded.m_id);
   std::string signature =
       fmt::format("{}.{}", m_id, m_monitor->m_counts["runs"]);
   if (!m_monitor->RecordExecution(m_options.m_service, signature, forwarded,
@@ -333,6 +340,10 @@
                 (m_injected_faults.m_is_slow ? kSlowFactor : 1));
   if (!IsCurrentIncarnation(incarnation) || m_injected_faults.m_loses_answers) {
     exchange.Abort();
+  } else if (is_crashing && !m_is_leaving) {
+    m_monitor->RecordPromptCrash();
+    Crash(kRestartTime);
+    exchange.Abort();
   } else if (forwarded.m_model.empty()) {
     AnswerPlain(forwarded, signature, exchange);
   } else {
--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -61,22 +61,50 @@
   }
 }
 
-void Monitor::RecordControlDisturbance(TimePoint until) {
-  m_control_disturbances.push_back(Interval{Clock::now(), until});
+void Monitor::RecordControlDisturbance(int control, TimePoint until) {
+  m_control_disturbances.push_back(Interval{Clock::now(), until, control});
 }
 
 void Monitor::RecordUpstreamDisturbance(TimePoint until) {
   m_upstream_disturbances.push_back(Interval{Clock::now(), until});
 }
 
+bool Monitor::IsDisturbed(const Interval &item, TimePoint from,
+                          TimePoint until) const {
+  return item.m_from <= until &&
+         from <= item.m_until + m_bounds.m_recovery_time;
+}
+
 bool Monitor::IsUndisturbed(const std::vector<Interval> &list, TimePoint from,
                             TimePoint until) const {
   return std::none_of(list.begin(), list.end(), [&](const Interval &item) {
-    return item.m_from <= until &&
-           from <= item.m_until + m_bounds.m_recovery_time;
+    return IsDisturbed(item, from, until);
   });
 }
 
+bool Monitor::IsOneControlDisturbed(TimePoint from, TimePoint until) const {
+  std::set<int> hosts;
+  for (const Interval &item : m_control_disturbances) {
+    if (IsDisturbed(item, from, until)) hosts.insert(item.m_control);
+  }
+  return hosts.size() <= 1;
+}
+
+/** @return whether a request must be handled by a version that was acknowledged
+ * at a time, or a newer one. */
+bool Monitor::MustBeInForce(const RequestRecord &record,
+                            TimePoint acknowledged_at, TimePoint now) const {
+  TimePoint sent_at = record.m_sent_at;
+  if (sent_at <= acknowledged_at + m_bounds.m_apply_time) return false;
+  if (IsEntryUndisturbed(record.m_entry, sent_at - m_bounds.m_apply_time, now))
+    return true;
+  TimePoint from = sent_at - m_bounds.m_max_apply_time;
+  const EntryState &entry = m_entries[static_cast<std::size_t>(record.m_entry)];
+  return acknowledged_at < from &&
+         IsUndisturbed(entry.m_disturbances, from, now) &&
+         IsOneControlDisturbed(from, now);
+}
+
 bool Monitor::IsEntryUndisturbed(int entry, TimePoint from,
                                  TimePoint until) const {
   return IsUndisturbed(
@@ -117,6 +145,27 @@
                   forwarded.m_id, request.m_target, forwarded.m_model));
 }
 
+void Monitor::RecordPromptCrash() {
+  ++m_counts["prompt_crashes"];
+  m_prompt_crashes.push_back(Clock::now());
+}
+
+void Monitor::RecordCrashingPrompt(const std::string &id) {
+  constexpr std::size_t kCrashes = 5;
+  if (m_prompt_crashes.size() < kCrashes) return;
+  auto found = m_requests.find(id);
+  TimePoint now = Clock::now();
+  TimePoint known_at = m_prompt_crashes[kCrashes - 1];
+  if (found == m_requests.end() || now <= known_at + m_bounds.m_quarantine_time)
+    return;
+  if (!IsEntryUndisturbed(found->second.m_entry, known_at, now)) return;
+  if (++m_late_crashing_prompts <= m_bounds.m_max_late_crashing_prompts) return;
+  ReportViolation("crashing prompts",
+                  "request " + id +
+                      " with a part that crashed five runners "
+                      "reached another one");
+}
+
 bool Monitor::RecordExecution(const std::string &service,
                               const std::string &signature,
                               const ForwardedRequest &forwarded,
@@ -186,20 +235,16 @@
   std::uint64_t required = 0;
   for (const auto &[version, table] : m_tables) {
     if (!table.m_acknowledged_at) continue;
-    if (record.m_sent_at > *table.m_acknowledged_at + m_bounds.m_apply_time) {
+    if (MustBeInForce(record, *table.m_acknowledged_at, now)) {
       required = version;
     }
   }
   if (newest >= required || newest == 0) return;
-  bool is_checked = IsEntryUndisturbed(
-      record.m_entry, record.m_sent_at - m_bounds.m_apply_time, now);
-  if (is_checked) {
-    ReportViolation(
-        "in force",
-        fmt::format("entry host {} used table version {} or older, expected "
-                    "{} or newer",
-                    record.m_entry, newest, required));
-  }
+  ReportViolation(
+      "in force",
+      fmt::format("entry host {} used table version {} or older, expected "
+                  "{} or newer",
+                  record.m_entry, newest, required));
 }
 
 void Monitor::RecordResponse(const std::string &id,
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -20,6 +20,11 @@
   base::milliseconds m_recovery_time{4'000};
   base::milliseconds m_drain{2'500};       ///< from leaving to the last request
   base::milliseconds m_apply_time{2'500};  ///< from acknowledged to in force
+  /** The same while one control host is affected by faults. */
+  base::milliseconds m_max_apply_time{8'500};
+  /** From the fifth crash under one prompt part until its requests end. */
+  base::milliseconds m_quarantine_time{4'000};
+  int m_max_late_crashing_prompts = 3;
   /** A host that has used a version for longer never uses an older one. */
   base::milliseconds m_rollback_time{250};
   base::milliseconds m_order_lease{3'000};  ///< between orders of two holders
@@ -61,8 +66,8 @@
 
   /** A fault affects an entry host until a time; `entry` -1: all of them. */
   void RecordEntryDisturbance(int entry, base::TimePoint until);
-  /** A fault affects the control hosts. */
-  void RecordControlDisturbance(base::TimePoint until);
+  /** A fault affects a control host until a time. */
+  void RecordControlDisturbance(int control, base::TimePoint until);
   /** A fault affects upstreams or the links to them. */
   void RecordUpstreamDisturbance(base::TimePoint until);
   /**
@@ -100,6 +105,15 @@
   void RecordForwardedRequest(const std::string &upstream,
                               const std::string &id);
 
+  // Prompts that crash runners.
+
+  static constexpr const char *kCrashingPart = "dead";
+  bool m_sends_crashing_prompts = false;
+  /** A prompt with kCrashingPart crashes a runner. */
+  void RecordPromptCrash();
+  /** A request with kCrashingPart reaches a runner. */
+  void RecordCrashingPrompt(const std::string &id);
+
   // Tables. Version V routes /move/ to service V modulo kMovingServices.
 
   static constexpr std::uint64_t kMovingServices = 3;
@@ -134,6 +148,7 @@
   struct Interval {
     base::TimePoint m_from;
     base::TimePoint m_until;
+    int m_control = -1;  ///< number of the control host, if it is about one
   };
   struct HolderState {
     std::string m_holder;
@@ -146,6 +161,13 @@
     base::TimePoint m_seen_at;        ///< when a request first showed this
   };
 
+  bool IsDisturbed(const Interval &item, base::TimePoint from,
+                   base::TimePoint until) const;
+  /** @return whether faults affected one control host at most. */
+  bool IsOneControlDisturbed(base::TimePoint from, base::TimePoint until) const;
+  bool MustBeInForce(const RequestRecord &record,
+                     base::TimePoint acknowledged_at,
+                     base::TimePoint now) const;
   bool IsUndisturbed(const std::vector<Interval> &list, base::TimePoint from,
                      base::TimePoint until) const;
   void CheckMovingRoute(const RequestRecord &record, std::uint64_t service);
@@ -169,6 +191,8 @@
   std::uint64_t m_acknowledged_version = 0;
   std::map<std::string, HolderState> m_holders;  ///< by runner
   std::vector<base::TimePoint> m_store_loads;
+  std::vector<base::TimePoint> m_prompt_crashes;
+  int m_late_crashing_prompts = 0;  ///< that count against the guarantee
   std::vector<std::string> m_violations;
 };
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -29,6 +29,9 @@
 /** A control host that lost its disk has recovered after this. */
 constexpr milliseconds kDiskReplacementTime{6'000};
 constexpr std::uint64_t kTargetNumberLimit = 1'000;
+/** Of three seeds, one starts with a series of changes and one with prompts
+ * that crash runners. */
+constexpr std::uint64_t kFirstPhases = 3;
 
 struct FaultProperties {
   FaultKind m_kind;
@@ -83,6 +86,8 @@
          milliseconds(3'000), false},
         {FaultKind::kChangeControlList, "change_seeds", 1, milliseconds(0),
          milliseconds(0), false},
+        {FaultKind::kCrashingPrompts, "crashing_prompts", 0, milliseconds(0),
+         milliseconds(0), false},
         {FaultKind::kStopEntry, "stop_entry", 0, milliseconds(0),
          milliseconds(0), false},
         {FaultKind::kLeaveRunner, "leave_runner", 0, milliseconds(0),
@@ -172,9 +177,46 @@
   }
 }
 
-void AddChanges(Random *random, SoakPlan *plan) {
+/**
+ * Changes follow each other while one control host can't write, so that it is
+ * behind but reachable. Longer than hosts may use an old table meanwhile.
+ * @return the end of the series
+ */
+milliseconds AddSeriesOfChanges(Random *random, SoakPlan *plan) {
+  constexpr milliseconds kStart{1'000};
+  constexpr milliseconds kSeriesDuration{12'000};
+  constexpr milliseconds kChangeGap{150};
+  PlannedFault fault;
+  fault.m_at = kStart;
+  fault.m_kind = FaultKind::kFillDisk;
+  fault.m_target =
+      static_cast<std::uint32_t>(NextRandomBelow(random, kTargetNumberLimit));
+  fault.m_duration = kSeriesDuration;
+  plan->m_faults.push_back(fault);
+  PlannedChange change;
+  change.m_at = kStart + kChangeGap;
+  plan->m_changes.push_back(change);
+  change.m_keeps_route = true;
+  while (change.m_at < kStart + kSeriesDuration) {
+    change.m_at += kChangeGap;
+    plan->m_changes.push_back(change);
+  }
+  return change.m_at;
+}
+
+/** Some prompts crash runners, without other faults. @return the end */
+milliseconds AddCrashingPrompts(SoakPlan *plan) {
+  PlannedFault fault;
+  fault.m_at = milliseconds(1'000);
+  fault.m_kind = FaultKind::kCrashingPrompts;
+  fault.m_duration = milliseconds(12'000);
+  plan->m_faults.push_back(fault);
+  return fault.m_at + fault.m_duration;
+}
+
+void AddChanges(Random *random, milliseconds from, SoakPlan *plan) {
   constexpr double kMeanChangeGapMs = 1'500;
-  milliseconds at(200);
+  milliseconds at = from;
   while (at < plan->m_duration) {
     PlannedChange change;
     change.m_at = at;
@@ -194,10 +236,20 @@
   plan.m_seed = seed;
   plan.m_duration = duration;
   milliseconds at(500);
-  while (at + kMinFaultPhase + kQuietPhase <= duration) {
+  milliseconds changes_from(200);
+  if (seed % kFirstPhases == 1) {
+    changes_from = AddSeriesOfChanges(&random, &plan) + milliseconds(200);
+    at = changes_from;
+  } else if (seed % kFirstPhases == 2) {
+    at = AddCrashingPrompts(&plan) + milliseconds(200);
+  }
+  // The first phase is added to the duration, so that the others are as long
+  // and as varied with it as without.
+  plan.m_duration = at + duration;
+  while (at + kMinFaultPhase + kQuietPhase <= plan.m_duration) {
     milliseconds phase =
         ChooseDuration(&random, kMinFaultPhase, kMaxFaultPhase);
-    phase = std::min(phase, duration - kQuietPhase - at);
+    phase = std::min(phase, plan.m_duration - kQuietPhase - at);
     AddFaultPhase(&random, at, at + phase, &plan);
     AddPlannedWork(&random, at + phase, &plan);
     at += phase + kQuietPhase;
@@ -207,7 +259,7 @@
                      return a.m_at < b.m_at;
                    });
   DropFaultsDuringDiskReplacement(&plan.m_faults);
-  AddChanges(&random, &plan);
+  AddChanges(&random, changes_from, &plan);
   return plan;
 }
 
--- a/soak/plan_type.h
+++ b/soak/plan_type.h
@@ -33,6 +33,7 @@
   kGarbleAnswers,    ///< plain responses name no request, streams are aborted
   kLateOrders,       ///< a runner executes orders late, without a response
   kChangeControlList,  ///< an entry host gets other control hosts, by SIGHUP
+  kCrashingPrompts,    ///< some prompts crash each runner that answers them
   kStopEntry,          ///< planned work: SIGTERM, restarted after its exit
   kLeaveRunner,  ///< planned work: a runner reports leaving, then restarts
   kEnd,
@@ -51,6 +52,8 @@
   base::milliseconds m_at{0};
   bool m_is_concurrent = false;  ///< another change is put at the same time
   bool m_is_invalid = false;     ///< must be refused
+  /** The moving route stays where the change before has put it. */
+  bool m_keeps_route = false;
 };
 
 struct SoakPlan {
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -306,8 +306,9 @@
       if (change.m_is_concurrent)
         m_operator->PutNextTable(Clock::now() + kPutLimit);
     });
-    m_operator->PutNextTable(Clock::now() + kPutLimit);
+    m_operator->PutNextTable(Clock::now() + kPutLimit, change.m_keeps_route);
     concurrent_put.join();
+    if (change.m_keeps_route) continue;
     m_operator->ReadTable(Clock::now() + kReadLimit);
   }
 }
--- a/soak/soak_run_faults.cpp
+++ b/soak/soak_run_faults.cpp
@@ -69,6 +69,7 @@
     case FaultKind::kLoseAnswers:
     case FaultKind::kGarbleAnswers:
     case FaultKind::kLateOrders:
+    case FaultKind::kCrashingPrompts:
     case FaultKind::kLeaveRunner:
       InjectRunnerFault(fault);
       return;
@@ -157,6 +158,11 @@
   InjectedFaults &injected_faults = runner->m_injected_faults;
   bool *flag = nullptr;
   switch (fault.m_kind) {
+    case FaultKind::kCrashingPrompts:
+      m_monitor.m_sends_crashing_prompts = true;
+      net::SleepFor(fault.m_duration);
+      m_monitor.m_sends_crashing_prompts = false;
+      return;
     case FaultKind::kLeaveRunner:
       runner->Leave(kDrainTime);
       return;
@@ -205,7 +211,7 @@
   if (host.m_is_entry) {
     m_monitor.RecordEntryDisturbance(host.m_number, until);
   } else {
-    m_monitor.RecordControlDisturbance(until);
+    m_monitor.RecordControlDisturbance(host.m_number, until);
   }
 }
 
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -57,7 +57,10 @@
       seen.insert(fault.m_kind);
     }
   }
-  EXPECT_EQ(seen.size(), static_cast<std::size_t>(FaultKind::kEnd));
+  for (int kind = 0; kind < static_cast<int>(FaultKind::kEnd); ++kind) {
+    EXPECT_TRUE(seen.contains(static_cast<FaultKind>(kind)))
+        << GetFaultName(static_cast<FaultKind>(kind));
+  }
 }
 
 /** A monitor with short bounds and one entry host. */
@@ -68,6 +71,8 @@
     bounds.m_recovery_time = milliseconds(20);
     bounds.m_drain = milliseconds(10);
     bounds.m_apply_time = milliseconds(10);
+    bounds.m_max_apply_time = milliseconds(40);
+    bounds.m_quarantine_time = milliseconds(10);
     bounds.m_rollback_time = milliseconds(10);
     bounds.m_weight_mb = 200;
     bounds.m_adapter_slots = 1;
@@ -225,6 +230,34 @@
   EXPECT_EQ(GetViolatedGuarantees(), "in force;");
 }
 
+// One control host that is behind is no reason for an old table.
+TEST_F(MonitorTest, CatchesAnOldTableWhileOneControlHostIsBehind) {
+  for (int other_host : {0, 1}) {
+    m_monitor.RecordSentTable(1, "one");
+    m_monitor.RecordSentTable(2, "two");
+    m_monitor.RecordAcknowledgedTable(2);
+    Pause(kLongPauseMs);
+    m_monitor.RecordControlDisturbance(0, base::Clock::now());
+    m_monitor.RecordControlDisturbance(other_host, base::Clock::now());
+    std::string id = "r" + std::to_string(other_host);
+    Send(id, "/move/", true);
+    RunAt(id, "/move/", "desk-1");
+    // With two of three hosts, tables may be late.
+    EXPECT_EQ(GetViolatedGuarantees(), "in force;") << other_host;
+  }
+}
+
+TEST_F(MonitorTest, CatchesCrashingPromptsThatGoOn) {
+  for (int i = 0; i < 5; ++i) m_monitor.RecordPromptCrash();
+  Send("r", "/flow/", true);
+  m_monitor.RecordCrashingPrompt("r");
+  Pause(kLongPauseMs);
+  for (int i = 0; i < 3; ++i) m_monitor.RecordCrashingPrompt("r");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  m_monitor.RecordCrashingPrompt("r");
+  EXPECT_EQ(GetViolatedGuarantees(), "crashing prompts;");
+}
+
 TEST_F(MonitorTest, CatchesAHostThatRevertsToAnOldTable) {
   m_monitor.RecordSentTable(1, "one");
   m_monitor.RecordSentTable(2, "two");
