--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -102,15 +102,17 @@
   bool AwaitHead(RequestScope *scope, const Choice &choice,
                  const net::HttpClientPool::StartResult &start,
                  net::HttpResponse *head);
+  bool HasAlternative(const RequestScope &scope, const Choice &choice);
+  void RecordPromptOutcome(const RequestScope &scope,
+                           std::uint64_t runner_start_ms);
+
+  // relay.cpp
   void RelayStream(RequestScope *scope, const Choice &choice,
                    net::HttpCall *call, const net::HttpResponse &head);
   void RelayFullResponse(RequestScope *scope, const Choice &choice,
                          net::HttpCall *call, net::HttpResponse head);
-  void RecordPromptOutcome(const RequestScope &scope,
-                           std::uint64_t runner_start_ms);
   bool ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
                      const std::string &bytes);
-  bool HasAlternative(const RequestScope &scope, const Choice &choice);
 
   // gateway_load.cpp
   Choice ChooseByRunnerLoad(RequestScope *scope, base::TimePoint now);
