Obey runners that leave or ask for a pause in their answers

Cause: an entry host learned that a runner leaves only from the runner's reports, and ignored Retry-After of its refusals.

Change: Server-Leaving is read from every answer of the runner that was asked; it gets nothing new from this host until its process restarts. A 503 with Retry-After stops this host's requests to it until then. Where all copies pause for longer than a request may wait, it is refused at once with the end of the first pause, spread over 0.5 s. A late answer of an earlier process marks nothing.

Measured: seven new tests in gateway_choose_test, gateway_request_test and platform_codec_test; the old code has none of this state.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -56,7 +56,7 @@
   scope->m_has_forwarded_event = false;
   scope->m_is_connection_lost = false;
   UpstreamStats &stats_before = m_stats[choice.m_upstream];
-  std::uint64_t runner_start_ms = stats_before.m_start_time_ms;
+  scope->m_runner_start_ms = stats_before.m_start_time_ms;
   ++stats_before.m_in_flight;
   stats_before.m_prefill_tokens += choice.m_prefill_tokens;
   ReportRunnerLoad(*scope, gen::LOAD_SENT);
@@ -67,7 +67,7 @@
   stats_after.m_in_flight = std::max(0, stats_after.m_in_flight - 1);
   stats_after.m_prefill_tokens -= std::min<std::uint64_t>(
       stats_after.m_prefill_tokens, choice.m_prefill_tokens);
-  RecordPromptOutcome(*scope, runner_start_ms);
+  RecordPromptOutcome(*scope);
   if (scope->m_attempt_end == AttemptEnd::kAnswered) return;
   LogEvent(LogLevel::kInfo, "attempt_failed",
            {{"request", scope->m_metadata.m_id},
@@ -81,9 +81,29 @@
              base::ToMilliseconds(base::Clock::now() - scope->m_sent_at)}});
 }
 
+/**
+ * Records what an upstream says of itself in an answer.
+ * @param start_ms start of the process that answered; a late answer says
+ *        nothing about a process that was started since
+ */
+void Gateway::RecordUpstreamWishes(const std::string &upstream,
+                                   std::uint64_t start_ms,
+                                   const ResponseMetadata &metadata) {
+  UpstreamStats &stats = m_stats[upstream];
+  if (stats.m_start_time_ms != start_ms) return;
+  if (metadata.m_is_leaving && !stats.m_is_leaving) {
+    stats.m_is_leaving = true;
+    LogEvent(LogLevel::kInfo, "upstream_leaving", {{"upstream", upstream}});
+  }
+  if (!metadata.m_pause) return;
+  stats.m_paused_until =
+      std::max(stats.m_paused_until, base::Clock::now() + *metadata.m_pause);
+  LogEvent(LogLevel::kInfo, "upstream_paused",
+           {{"upstream", upstream}, {"pause_ms", metadata.m_pause->count()}});
+}
+
 /** Records whether an attempt clears its prompt or makes it suspect. */
-void Gateway::RecordPromptOutcome(const RequestScope &scope,
-                                  std::uint64_t runner_start_ms) {
+void Gateway::RecordPromptOutcome(const RequestScope &scope) {
   if (scope.m_part_keys.empty()) return;
   bool is_answered =
       scope.m_attempt_end == AttemptEnd::kAnswered && IsSuccess(scope.m_status);
@@ -94,7 +114,7 @@
   if (!scope.m_is_connection_lost) return;
   gen::LostPrompt prompt;
   prompt.set_upstream(scope.m_upstream);
-  prompt.set_born_ms(runner_start_ms);
+  prompt.set_born_ms(scope.m_runner_start_ms);
   for (std::uint64_t part : scope.m_part_keys) prompt.add_parts(part);
   RecordLostPrompt(&m_prompt_evidence, std::move(prompt), base::Clock::now());
   m_is_use_report_urgent = true;
@@ -196,6 +216,9 @@
       *answer, scope->m_metadata, choice.m_upstream);
   bool is_for_request =
       IsForRequest(metadata, answer->m_status, start.m_is_reused);
+  if (is_for_request && !metadata.m_is_from_other_upstream) {
+    RecordUpstreamWishes(choice.m_upstream, scope->m_runner_start_ms, metadata);
+  }
   if (is_for_request && metadata.m_is_not_run) {
     RecordFailure(&stats, kRefusalWeight, base::Clock::now());
     if (metadata.m_is_from_other_upstream) {
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -49,6 +49,13 @@
   return is_same_region ? kSameRegionCostMs : kOtherRegionCostMs;
 }
 
+/** @return whether an upstream has said in an answer that it is leaving. */
+bool IsLeaving(const StatsById &stats, const gen::UpstreamReport &report) {
+  auto found = stats.find(report.id());
+  return found != stats.end() && found->second.m_is_leaving &&
+         found->second.m_start_time_ms == report.born_ms();
+}
+
 /** @return the statistics of an upstream, reset if it has restarted. */
 UpstreamStats *FindStats(StatsById *stats, const gen::UpstreamReport &report,
                          base::TimePoint now) {
@@ -137,6 +144,8 @@
       return "no_adapter";
     case ChoiceProblem::kDown:
       return "upstream_down";
+    case ChoiceProblem::kPaused:
+      return "upstream_paused";
     case ChoiceProblem::kAllExcluded:
       return "all_failed";
     case ChoiceProblem::kEnd:
@@ -164,6 +173,7 @@
     const gen::UpstreamReport &report = entry.m_report;
     if (report.service() != request.m_service->name()) continue;
     if (!fleet::IsServing(view, entry)) continue;
+    if (IsLeaving(*stats, report)) continue;
     if (needs_model && !fleet::HasTarget(entry, metadata.m_model, "", now)) {
       record_problem(ChoiceProblem::kNoModel);
       continue;
@@ -178,6 +188,12 @@
       continue;
     }
     const UpstreamStats &known = *FindStats(stats, report, now);
+    if (now < known.m_paused_until) {
+      record_problem(ChoiceProblem::kPaused);
+      candidates.m_pause_ends_at =
+          std::min(candidates.m_pause_ends_at, known.m_paused_until);
+      continue;
+    }
     if (needs_model && IsModelRefused(known, metadata.m_model, now)) {
       record_problem(ChoiceProblem::kNoModel);
       continue;
@@ -211,6 +227,7 @@
 Choice PickCandidate(const Candidates &candidates) {
   Choice choice;
   choice.m_problem = candidates.m_problem;
+  choice.m_pause_ends_at = candidates.m_pause_ends_at;
   double lowest_cost_ms = std::numeric_limits<double>::infinity();
   for (const Candidate &candidate : candidates.m_list) {
     double cost_ms = GetCostMs(candidate);
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -41,6 +41,7 @@
                  ///< requests for it
   kNoAdapter,    ///< upstreams have loaded the model, but not the adapter
   kDown,         ///< suitable upstreams refuse connections
+  kPaused,       ///< suitable upstreams asked for a pause
   kAllExcluded,  ///< suitable upstreams have failed this request
   kEnd,
 };
@@ -52,6 +53,7 @@
   base::milliseconds m_expected_latency{0};  ///< time to the first byte
   std::uint32_t m_prefill_tokens = 0;        ///< prompt tokens not cached there
   bool m_is_silent = false;
+  base::TimePoint m_pause_ends_at;  ///< with kPaused: the first of them
 };
 
 /** An upstream that could run a request. */
@@ -72,6 +74,7 @@
 struct Candidates {
   std::vector<Candidate> m_list;
   ChoiceProblem m_problem = ChoiceProblem::kNoUpstream;  ///< if it is empty
+  base::TimePoint m_pause_ends_at = base::TimePoint::max();
 };
 
 /** @return the cost of a request at an upstream; the lowest is chosen. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,7 +88,8 @@
   bool Admit(RequestScope *scope);
   void WaitForRoutes(RequestScope *scope);
   void Serve(RequestScope *scope);
-  bool WaitForChoice(RequestScope *scope, ChoiceProblem problem);
+  bool WaitForChoice(RequestScope *scope, const Choice &choice);
+  base::TimePoint GetWaitEnd(const RequestScope &scope) const;
   bool MayRetry(RequestScope *scope, const char *reason);
   void FinishUnanswered(RequestScope *scope);
   void Refuse(RequestScope *scope, int status, const std::string &reason,
@@ -103,8 +104,9 @@
                  const net::HttpClientPool::StartResult &start,
                  net::HttpResponse *head);
   bool HasAlternative(const RequestScope &scope, const Choice &choice);
-  void RecordPromptOutcome(const RequestScope &scope,
-                           std::uint64_t runner_start_ms);
+  void RecordUpstreamWishes(const std::string &upstream, std::uint64_t start_ms,
+                            const ResponseMetadata &metadata);
+  void RecordPromptOutcome(const RequestScope &scope);
 
   // relay.cpp
   void RelayStream(RequestScope *scope, const Choice &choice,
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -48,12 +48,15 @@
 
   // The attempt in progress.
   net::HttpCall *m_call = nullptr;
+  std::uint64_t m_runner_start_ms = 0;  ///< start of the upstream's process
   AttemptEnd m_attempt_end = AttemptEnd::kUnknown;
   int m_event_count = 0;  ///< whole events of a stream
   /** The caller got an event from it; without one a stream isn't complete. */
   bool m_has_forwarded_event = false;
   bool m_is_connection_lost = false;  ///< before the end of the answer
   std::string m_reason;               ///< why the attempt failed
+  /** Set if all suitable upstreams pause for longer than the caller waits. */
+  base::TimePoint m_pause_ends_at;
 
   /** It was cancelled because a part of its prompt is quarantined. */
   bool m_is_quarantined = false;
--- a/src/gateway/protocol_type.h
+++ b/src/gateway/protocol_type.h
@@ -60,6 +60,9 @@
   RequestIdEcho m_request_id = RequestIdEcho::kMissing;
   bool m_is_signed = false;             ///< has the upstream's signature header
   bool m_has_content_encoding = false;  ///< the body was encoded on the way
+  bool m_is_leaving = false;            ///< the upstream will stop soon
+  /** For how long a refusing upstream wants no requests of this host. */
+  std::optional<base::milliseconds> m_pause;
 };
 
 /** Error response that this host makes itself. */
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -28,6 +28,8 @@
 constexpr base::milliseconds kRetryAfter{250};
 /** Longer, because the model may have to be loaded from the weight store. */
 constexpr base::milliseconds kModelRetryAfter{3'500};
+/** Callers that were refused in a pause return within this time after it. */
+constexpr base::milliseconds kReturnSpread{500};
 /** A quarantine lasts for minutes. */
 constexpr base::milliseconds kQuarantineRetryAfter{60'000};
 constexpr base::milliseconds kDefaultCallerTimeout{30'000};
@@ -72,8 +74,22 @@
               .count());
 }
 
-base::milliseconds GetRetryAfter(const std::string &reason) {
+/** @return the end of a pause, and a part of kReturnSpread by the request's
+ * hash, so that callers don't return at the same moment. */
+base::milliseconds GetPauseRetryAfter(const RequestScope &scope) {
+  auto left = std::chrono::ceil<base::milliseconds>(scope.m_pause_ends_at -
+                                                    base::Clock::now());
+  auto spread = static_cast<std::uint64_t>(kReturnSpread.count());
+  return std::max(kRetryAfter, left) +
+         base::milliseconds(scope.m_request_hash % spread);
+}
+
+base::milliseconds GetRetryAfter(const RequestScope &scope,
+                                 const std::string &reason) {
   if (reason == kQuarantineReason) return kQuarantineRetryAfter;
+  if (reason == GetProblemName(ChoiceProblem::kPaused)) {
+    return GetPauseRetryAfter(scope);
+  }
   bool is_model_missing = reason == GetProblemName(ChoiceProblem::kNoModel);
   return is_model_missing ? kModelRetryAfter : kRetryAfter;
 }
@@ -218,7 +234,7 @@
     }
     Choice choice = ChooseByRunnerLoad(scope, now);
     if (choice.m_problem != ChoiceProblem::kNone) {
-      if (WaitForChoice(scope, choice.m_problem)) continue;
+      if (WaitForChoice(scope, choice)) continue;
       if (scope->m_is_caller_gone) continue;
       scope->m_reason = GetProblemName(choice.m_problem);
       FinishUnanswered(scope);
@@ -251,21 +267,31 @@
   }
 }
 
+/** @return the time at which a request that waits is refused. */
+base::TimePoint Gateway::GetWaitEnd(const RequestScope &scope) const {
+  base::Duration caller_timeout = scope.m_deadline - scope.m_started_at;
+  if (scope.m_route->kind() == gen::ROUTE_STREAM) {
+    caller_timeout = std::min<base::Duration>(
+        caller_timeout, routes::GetStreamPauseTimeout(*scope.m_route));
+  }
+  return scope.m_started_at + std::chrono::duration_cast<base::Duration>(
+                                  caller_timeout * kWaitShare);
+}
+
 /**
  * Waits until an upstream may have become available.
  * @return false if the request should end now
  */
-bool Gateway::WaitForChoice(RequestScope *scope, ChoiceProblem problem) {
+bool Gateway::WaitForChoice(RequestScope *scope, const Choice &choice) {
+  ChoiceProblem problem = choice.m_problem;
   base::TimePoint start = base::Clock::now();
-  base::Duration caller_timeout = scope->m_deadline - scope->m_started_at;
-  if (scope->m_route->kind() == gen::ROUTE_STREAM) {
-    caller_timeout = std::min<base::Duration>(
-        caller_timeout, routes::GetStreamPauseTimeout(*scope->m_route));
-  }
-  base::TimePoint give_up_at =
-      scope->m_started_at +
-      std::chrono::duration_cast<base::Duration>(caller_timeout * kWaitShare);
+  base::TimePoint give_up_at = GetWaitEnd(*scope);
   if (start >= give_up_at || m_is_refusing) return false;
+  if (problem == ChoiceProblem::kPaused) {
+    scope->m_pause_ends_at = choice.m_pause_ends_at;
+    if (choice.m_pause_ends_at >= give_up_at) return false;
+    give_up_at = choice.m_pause_ends_at;
+  }
   if (problem == ChoiceProblem::kAllExcluded) {
     net::SleepFor(kAllExcludedPause);
     scope->m_excluded.clear();
@@ -317,7 +343,7 @@
   details.m_request_id = scope->m_metadata.m_id;
   details.m_reason = reason;
   details.m_message = message;
-  if (status == 503) details.m_retry_after = GetRetryAfter(reason);
+  if (status == 503) details.m_retry_after = GetRetryAfter(*scope, reason);
   scope->m_status = status;
   scope->m_outcome = "refused";
   scope->m_reason = reason;
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -39,6 +39,10 @@
   base::TimePoint m_updated_at;
   base::TimePoint m_down_until;  ///< gets no requests until then
   int m_unreachable_count = 0;   ///< pauses since the last success
+  /** It said so in an answer. Ends only with its process, whatever it reports.
+   */
+  bool m_is_leaving = false;
+  base::TimePoint m_paused_until;  ///< it asked for no requests until then
   /** Models whose requests it refused, with the time until which it gets none
    * of them. */
   absl::flat_hash_map<std::string, base::TimePoint> m_refused_models;
--- a/tests/gateway_choose_test.cpp
+++ b/tests/gateway_choose_test.cpp
@@ -67,6 +67,30 @@
   std::set<std::string> m_excluded;
 };
 
+// A runner may leave without ever reporting it: its answers are all that says
+// so, and a record that says ready afterwards is older or wrong.
+TEST_F(ChooseTest, RunnerThatSaysThatItLeavesGetsNothingUntilItRestarts) {
+  ASSERT_EQ(Choose().m_upstream, "i-1");
+  m_stats["i-1"].m_is_leaving = true;
+  Add("i-1", "10.1.0.1:80", "near", gen::UPSTREAM_READY);
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+  gen::Fact restarted;
+  *restarted.mutable_upstream() = m_view.m_upstreams["i-1"].m_report;
+  restarted.mutable_upstream()->set_born_ms(6);
+  fleet::ApplyFact(&m_view, kPublisher, restarted, At(0));
+  EXPECT_EQ(Choose().m_upstream, "i-1");
+}
+
+TEST_F(ChooseTest, PausedRunnersGetNothingAndTheFirstEndIsKnown) {
+  ASSERT_EQ(Choose().m_upstream, "i-1");
+  m_stats["i-1"].m_paused_until = At(500);
+  EXPECT_EQ(Choose().m_upstream, "i-2");
+  m_stats["i-2"].m_paused_until = At(300);
+  Choice choice = Choose();
+  EXPECT_EQ(choice.m_problem, ChoiceProblem::kPaused);
+  EXPECT_EQ(choice.m_pause_ends_at, At(300));
+}
+
 TEST_F(ChooseTest, PrefersTheRunnerOfItsOwnDomain) {
   m_metadata.m_parts.clear();
   EXPECT_EQ(Choose().m_upstream, "i-1");
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -314,5 +314,82 @@
   });
 }
 
+// A runner that leaves with the header alone must get no further request, not
+// even a repeat of the one that it refused.
+TEST(GatewayRequestTest, RunnerThatSaysThatItLeavesGetsNoFurtherRequest) {
+  Script leave = [](int, const net::HttpRequest &request,
+                    net::HttpExchange &exchange) {
+    net::HttpHeaders headers = SignedHeaders(request);
+    headers.Add("Server-Leaving", "1");
+    (void)exchange.Respond({200, headers, "last"});
+  };
+  Script serve = [](int, const net::HttpRequest &request,
+                    net::HttpExchange &exchange) {
+    AnswerSigned(request, exchange, 200, "done");
+  };
+  RunWith({leave, serve}, [](Harness *harness) {
+    for (int i = 0; i < 20; ++i) {
+      FakeExchange exchange;
+      harness->Call("/once/", &exchange, "1200", "", "r" + std::to_string(i));
+      EXPECT_EQ(exchange.m_status, 200);
+    }
+    EXPECT_LE(harness->m_runners[0]->m_calls, 1);
+    EXPECT_GE(harness->m_runners[1]->m_calls, 19);
+  });
+}
+
+/** Refuses each request and asks for a pause. */
+Script RefuseWithPause(const std::string &seconds) {
+  return [seconds](int, const net::HttpRequest &request,
+                   net::HttpExchange &exchange) {
+    net::HttpResponse response;
+    response.m_status = 503;
+    response.m_headers = SignedHeaders(request);
+    response.m_headers.Add("X-Wasabiwind-Not-Run", "1");
+    response.m_headers.Add("Retry-After", seconds);
+    (void)exchange.Respond(response);
+  };
+}
+
+// Requests went on to reach a runner that had asked for a pause; where all of
+// them pause, the caller is told at once when to come back.
+TEST(GatewayRequestTest, PausedRunnerGetsNothingAndItsCallersAreToldWhen) {
+  RunWith({RefuseWithPause("5")}, [](Harness *harness) {
+    harness->EarnRetries();
+    for (int i = 0; i < 10; ++i) {
+      FakeExchange exchange;
+      base::TimePoint start = base::Clock::now();
+      harness->Call("/safe/", &exchange, "1200", "", "r" + std::to_string(i));
+      EXPECT_EQ(exchange.m_status, 503);
+      double retry_after = std::stod(exchange.m_headers.Get("Retry-After"));
+      EXPECT_GE(retry_after, 4.5);
+      EXPECT_LE(retry_after, 5.6);
+      EXPECT_LT(base::Clock::now() - start, milliseconds(200));
+    }
+    EXPECT_EQ(harness->CountCalls(), 1);
+  });
+}
+
+// A pause that ends well before the deadline is waited for.
+TEST(GatewayRequestTest, ShortPauseIsWaitedFor) {
+  Script script = [](int call, const net::HttpRequest &request,
+                     net::HttpExchange &exchange) {
+    if (call == 0) {
+      RefuseWithPause("0.3")(call, request, exchange);
+    } else {
+      AnswerSigned(request, exchange, 200, "done");
+    }
+  };
+  RunWith({script}, [](Harness *harness) {
+    harness->EarnRetries();
+    FakeExchange exchange;
+    base::TimePoint start = base::Clock::now();
+    harness->Call("/safe/", &exchange);
+    EXPECT_EQ(exchange.m_status, 200);
+    EXPECT_GE(base::Clock::now() - start, milliseconds(300));
+    EXPECT_EQ(harness->CountCalls(), 2);
+  });
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -213,6 +213,38 @@
             gateway::RequestIdEcho::kMissing);
 }
 
+TEST(GatewayCodecTest, ReadsLeavingFromAnyAnswer) {
+  net::HttpHeaders headers;
+  headers.Add("Server-Leaving", "1");
+  for (int status : {200, 421, 500, 503}) {
+    EXPECT_TRUE(DecodeResponseHead(status, headers).m_is_leaving);
+  }
+  EXPECT_FALSE(DecodeResponseHead(200, {}).m_is_leaving);
+}
+
+// A pause that is misread as none lets requests reach a runner that asked for
+// one; a text that is misread as a pause takes a sound runner away.
+TEST(GatewayCodecTest, ReadsThePauseOfARefusal) {
+  auto decode = [](int status, const std::vector<std::string> &values) {
+    net::HttpHeaders headers;
+    for (const std::string &value : values) headers.Add("Retry-After", value);
+    return DecodeResponseHead(status, headers).m_pause;
+  };
+  using std::chrono::milliseconds;
+  EXPECT_EQ(decode(503, {"2"}), milliseconds(2'000));
+  EXPECT_EQ(decode(503, {"0.25"}), milliseconds(250));
+  EXPECT_EQ(decode(503, {"0"}), milliseconds(0));
+  EXPECT_EQ(decode(503, {"1", "3", "2"}), milliseconds(3'000));
+  EXPECT_EQ(decode(503, {"x", "1"}), milliseconds(1'000));
+  EXPECT_EQ(decode(503, {"1e9"}), milliseconds(60'000));
+  for (const char *bad :
+       {"-1", "nan", "inf", "2s", "", " 2", "Sat, 05 Dec 2026 00:00:00 GMT"}) {
+    EXPECT_EQ(decode(503, {bad}), std::nullopt) << bad;
+  }
+  EXPECT_EQ(decode(503, {}), std::nullopt);
+  EXPECT_EQ(decode(200, {"2"}), std::nullopt);
+}
+
 TEST(GatewayCodecTest, AddressAnswerHasTheFieldsCallersRead) {
   gateway::AddressAnswer answer;
   answer.m_addresses = {"10.0.0.1:80"};
