--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -82,11 +82,11 @@
 }
 
 /**
- * Records what an upstream says of itself in an answer.
+ * Records that an upstream says in an answer that it leaves or wants a pause.
  * @param start_ms start of the process that answered; a late answer says
  *        nothing about a process that was started since
  */
-void Gateway::RecordUpstreamWishes(const std::string &upstream,
+void Gateway::RecordLeavingOrPause(const std::string &upstream,
                                    std::uint64_t start_ms,
                                    const ResponseMetadata &metadata) {
   UpstreamStats &stats = m_stats[upstream];
@@ -217,7 +217,7 @@
   bool is_for_request =
       IsForRequest(metadata, answer->m_status, start.m_is_reused);
   if (is_for_request && !metadata.m_is_from_other_upstream) {
-    RecordUpstreamWishes(choice.m_upstream, scope->m_runner_start_ms, metadata);
+    RecordLeavingOrPause(choice.m_upstream, scope->m_runner_start_ms, metadata);
   }
   if (is_for_request && metadata.m_is_not_run) {
     RecordFailure(&stats, kRefusalWeight, base::Clock::now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -104,7 +104,7 @@
                  const net::HttpClientPool::StartResult &start,
                  net::HttpResponse *head);
   bool HasAlternative(const RequestScope &scope, const Choice &choice);
-  void RecordUpstreamWishes(const std::string &upstream, std::uint64_t start_ms,
+  void RecordLeavingOrPause(const std::string &upstream, std::uint64_t start_ms,
                             const ResponseMetadata &metadata);
   void RecordPromptOutcome(const RequestScope &scope);
 
