Give up a connection between nodes whose handshake falls silent

Cause: heartbeats and their timeout work only on a connection whose handshake is complete, and the handshake itself had the library's timeout of 30 s. A connection that falls silent in between, for example because a frozen host accepted it and was reset, kept its sender from sending anything there for that long.

Change: a handshake that takes longer than 1.5 s is given up by both sides, and the connection is made again.

Measured: MessageTransportTest.SilentHandshakeIsGivenUp gets no message within 5 s on the old code, and one after 1.6 s now.

--- a/src/net/message_transport.cpp
+++ b/src/net/message_transport.cpp
@@ -29,6 +29,8 @@
 constexpr int kHeartbeatTimeoutMs = 1'500;
 /** Without it, connecting during a partition takes minutes to fail. */
 constexpr int kConnectTimeoutMs = 1'000;
+/** A connection has no heartbeats before its handshake is complete. */
+constexpr int kHandshakeTimeoutMs = 1'500;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 1'000;
 /** How long a message waits for its peer to be connected. */
@@ -110,6 +112,7 @@
   void *socket = m_impl->m_receiver;
   SetOption(socket, ZMQ_LINGER, 0);
   SetOption(socket, ZMQ_RCVHWM, m_impl->m_options.m_queue_limit);
+  SetOption(socket, ZMQ_HANDSHAKE_IVL, kHandshakeTimeoutMs);
   std::int64_t max_size =
       static_cast<std::int64_t>(m_impl->m_options.m_max_message_bytes);
   zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size, sizeof(max_size));
@@ -150,6 +153,7 @@
   SetOption(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatIntervalMs);
   SetOption(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
   SetOption(socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
+  SetOption(socket, ZMQ_HANDSHAKE_IVL, kHandshakeTimeoutMs);
   if (zmq_connect(socket, ToZmqAddress(endpoint).c_str()) != 0) {
     zmq_close(socket);
     return nullptr;
--- a/tests/net_message_test.cpp
+++ b/tests/net_message_test.cpp
@@ -1,6 +1,9 @@
 /** @file net_message_test.cpp One-way messages between two transports. */
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <boost/fiber/fiber.hpp>
 
@@ -155,6 +158,48 @@
   });
 }
 
+// A connection that falls silent before its handshake is complete has no
+// heartbeats yet, and kept a host from all messages of its peer for 30 s.
+TEST(MessageTransportTest, SilentHandshakeIsGivenUp) {
+  int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  int reuse = 1;
+  ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  ASSERT_EQ(
+      ::bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)),
+      0);
+  ASSERT_EQ(::listen(listener, 1), 0);
+  socklen_t size = sizeof(address);
+  ::getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
+  Endpoint peer{"127.0.0.1", ntohs(address.sin_port)};
+
+  MessageTransport sender(AnyPort());
+  ASSERT_TRUE(sender.Listen());
+  RunFiberThread([&] {
+    sender.Send(peer, "hello");
+    int silent = ::accept(listener, nullptr, nullptr);
+    ASSERT_GE(silent, 0);
+    ::close(listener);
+    MessageTransportOptions options;
+    options.m_listen = peer;
+    MessageTransport receiver(options);
+    ASSERT_TRUE(receiver.Listen());
+    bool is_received = false;
+    boost::fibers::fiber running([&] {
+      receiver.Run([&](const std::string &) { is_received = true; });
+    });
+    EXPECT_TRUE(WaitFor([&] {
+      sender.Send(peer, "hello");
+      return is_received;
+    }));
+    receiver.Stop();
+    running.join();
+    ::close(silent);
+  });
+}
+
 /** Guards against a message of another version that is parsed as this version.
  */
 TEST(EnvelopeTest, OtherVersionsAndGarbageAreRejected) {
