Don't infer a newer table from a delayed request in the soak

The monitor learns from the service that runs a request which table was used, and takes the first one that selects this service and isn't older than what the host has shown.

Change: the table can't be older than what the host had shown when the request was sent; what it showed meanwhile says nothing. The trace shows that the case is allowed: the host's own log has each request with the table that it used.

Measured: MonitorTest.DelayedRequestDoesNotShowANewerTable failed before and passes; CatchesAHostThatRevertsToAnOldTable still catches a host that goes back.

--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -119,6 +119,8 @@
 
 void Monitor::RecordRequest(const std::string &id, RequestRecord record) {
   ++m_counts["requests"];
+  record.m_min_version =
+      m_entries[static_cast<std::size_t>(record.m_entry)].m_min_version;
   m_requests.emplace(id, std::move(record));
 }
 
@@ -216,7 +218,7 @@
   std::uint64_t newest = 0;
   for (const auto &[version, table] : m_tables) {
     if (version % kMovingServices != service) continue;
-    if (oldest == 0 && version >= entry.m_min_version) oldest = version;
+    if (oldest == 0 && version >= record.m_min_version) oldest = version;
     newest = version;
   }
   bool is_rollback_time_over = record.m_sent_at > entry.m_seen_at +
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -44,6 +44,8 @@
   bool m_is_stream = false;
   int m_entry = 0;
   base::TimePoint m_sent_at;
+  /** The entry host used this version, or a newer one, when it was sent. */
+  std::uint64_t m_min_version = 0;
   std::vector<std::string> m_signatures;  ///< of the upstreams that ran it
   bool m_is_refused = false;  ///< with a status that says it never runs
 };
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -269,6 +269,25 @@
   EXPECT_EQ(GetViolatedGuarantees(), "never back;");
 }
 
+// A request that was handled by an older table and arrives late shows no newer
+// table of the same service. (Soak seed 8001.)
+TEST_F(MonitorTest, DelayedRequestDoesNotShowANewerTable) {
+  for (std::uint64_t version : {3, 4, 5, 6}) {
+    m_monitor.RecordSentTable(version, "table");
+  }
+  Send("first", "/move/", true);
+  RunAt("first", "/move/", "desk-0");  // version 3
+  Send("delayed", "/move/", true);
+  Send("next", "/move/", true);
+  RunAt("next", "/move/", "desk-1");  // version 4
+  Pause(kLongPauseMs);
+  RunAt("delayed", "/move/", "desk-0");  // still version 3
+  Pause(kLongPauseMs);
+  Send("last", "/move/", true);
+  RunAt("last", "/move/", "desk-2");  // version 5
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+}
+
 TEST_F(MonitorTest, CatchesALostTable) {
   m_monitor.RecordSentTable(1, "one");
   m_monitor.RecordSentTable(2, "two");
