Soak runners that leave or ask for pauses in their answers

Change: planned work of the soak has both; the guarantees 'said leave' and 'pause' are checked from what runners receive.

--- a/soak/fake_runner.cpp
+++ b/soak/fake_runner.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds kServeAfterDrain{300};
 /** After a crash that a prompt causes. */
 constexpr milliseconds kRestartTime{1'500};
+/** That a runner asks for. */
+constexpr milliseconds kPause{1'500};
 constexpr int kSlowFactor = 10;
 constexpr int kSlots = 32;
 
@@ -80,6 +82,7 @@
   m_accepted_order_count = 0;
   m_is_busy = false;
   m_is_leaving = false;
+  m_says_leaving = false;
   m_is_up = true;
   m_link.m_state.m_is_refusing = false;
 }
@@ -144,6 +147,22 @@
   }).detach();
 }
 
+void FakeRunner::LeaveSilently(milliseconds drain) {
+  if (!m_is_up || m_is_leaving || m_says_leaving) return;
+  m_says_leaving = true;
+  ++m_background_fibers;
+  boost::fibers::fiber([this, drain] {
+    std::uint64_t incarnation = m_incarnation;
+    net::SleepFor(2 * drain);
+    if (IsCurrentIncarnation(incarnation)) {
+      // Entry hosts without an answer from it don't know, so this is a crash.
+      m_monitor->RecordUpstreamDisturbance(Clock::now() + kRestartTime);
+      Crash(kRestartTime);
+    }
+    --m_background_fibers;
+  }).detach();
+}
+
 gen::UpstreamReport FakeRunner::MakeReport(gen::UpstreamState state) {
   gen::UpstreamReport report;
   report.set_id(m_id);
@@ -312,15 +331,34 @@
   }).detach();
 }
 
+void FakeRunner::AddLeaving(const ForwardedRequest &forwarded,
+                            net::HttpHeaders *headers) {
+  if (!m_says_leaving) return;
+  m_protocol->m_add_leaving(headers);
+  m_monitor->RecordSaidLeaving(m_id, forwarded.m_id);
+}
+
+void FakeRunner::Refuse(const ForwardedRequest &forwarded, bool is_misdirected,
+                        net::HttpExchange &exchange) {
+  net::HttpResponse refusal =
+      m_protocol->m_make_not_run_answer(forwarded.m_id, m_id, is_misdirected);
+  if (m_injected_faults.m_asks_for_pause && !is_misdirected) {
+    m_protocol->m_add_pause(kPause, &refusal.m_headers);
+    m_monitor->RecordPause(m_id, forwarded.m_id, kPause);
+  }
+  (void)exchange.Respond(refusal);
+}
+
 void FakeRunner::HandleRequest(const net::HttpRequest &request,
                                net::HttpExchange &exchange) {
   ForwardedRequest forwarded = m_protocol->m_decode_forwarded(request);
   bool is_other_upstream = !forwarded.m_expected_upstream.empty() &&
                            forwarded.m_expected_upstream != m_id;
   bool is_missing = !forwarded.m_model.empty() && !IsLoaded(forwarded.m_model);
-  if (is_other_upstream || is_missing || m_running_requests >= kSlots) {
-    (void)exchange.Respond(m_protocol->m_make_not_run_answer(
-        forwarded.m_id, m_id, is_other_upstream || is_missing));
+  if (!is_other_upstream) m_monitor->RecordArrival(m_id, forwarded.m_id);
+  if (is_other_upstream || is_missing || m_running_requests >= kSlots ||
+      m_injected_faults.m_asks_for_pause) {
+    Refuse(forwarded, is_other_upstream || is_missing, exchange);
     return;
   }
   m_monitor->RecordForwardedRequest(m_id, forwarded.m_id);
@@ -359,6 +397,7 @@
   std::string request_id =
       m_injected_faults.m_garbles_answers ? "nobody" : forwarded.m_id;
   response.m_headers = m_protocol->m_make_answer_headers(request_id, signature);
+  AddLeaving(forwarded, &response.m_headers);
   response.m_body = Monitor::MakeAnswer(request_id, signature);
   (void)exchange.Respond(response);
 }
@@ -370,6 +409,7 @@
   net::HttpHeaders headers =
       m_protocol->m_make_answer_headers(forwarded.m_id, signature);
   headers.Add("Content-Type", "text/event-stream");
+  AddLeaving(forwarded, &headers);
   if (!exchange.BeginStream(200, headers)) return;
   auto first = static_cast<int>(forwarded.m_last_event_id.value_or(0)) + 1;
   for (int event = first; event <= Monitor::kEventsPerStream; ++event) {
--- a/soak/fake_runner.h
+++ b/soak/fake_runner.h
@@ -35,6 +35,7 @@
   bool m_loses_answers = false;
   bool m_garbles_answers = false;
   bool m_delays_orders = false;
+  bool m_asks_for_pause = false;  ///< refuses each request
 };
 
 /**
@@ -57,6 +58,8 @@
 
   /** Reports that it leaves, serves for `drain` and a margin, then restarts. */
   void Leave(base::milliseconds drain);
+  /** As Leave, but only answers say so; nothing is reported. */
+  void LeaveSilently(base::milliseconds drain);
 
   LinkProxy &GetLink() { return m_link; }
   InjectedFaults m_injected_faults;
@@ -75,6 +78,9 @@
                    net::HttpExchange &exchange);
   fleet::OrderOutcome ExecuteOrder(const fleet_control::RunnerOrder &order);
   void ScheduleLoadEnd(const std::string &model, base::milliseconds time);
+  void AddLeaving(const ForwardedRequest &forwarded, net::HttpHeaders *headers);
+  void Refuse(const ForwardedRequest &forwarded, bool is_misdirected,
+              net::HttpExchange &exchange);
   void AnswerPlain(const ForwardedRequest &forwarded,
                    const std::string &signature, net::HttpExchange &exchange);
   void AnswerStream(const ForwardedRequest &forwarded,
@@ -107,6 +113,7 @@
   int m_running_requests = 0;
   bool m_is_up = false;
   bool m_is_leaving = false;
+  bool m_says_leaving = false;  ///< in its answers
   bool m_is_stopped = false;
   int m_background_fibers = 0;  ///< fibers that still use this object
 };
--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -304,6 +304,56 @@
   m_left_at.emplace(upstream, at);
 }
 
+void Monitor::RecordSaidLeaving(const std::string &upstream,
+                                const std::string &id) {
+  ++m_counts["said_leaving"];
+  auto request = m_requests.find(id);
+  if (request == m_requests.end()) return;
+  m_said_leaving_at.try_emplace({request->second.m_entry, upstream},
+                                Clock::now());
+}
+
+void Monitor::RecordPause(const std::string &upstream, const std::string &id,
+                          base::milliseconds pause) {
+  ++m_counts["pauses"];
+  auto request = m_requests.find(id);
+  if (request == m_requests.end()) return;
+  TimePoint now = Clock::now();
+  Pause &known = m_pauses[{request->second.m_entry, upstream}];
+  if (now >= known.m_until) known = Pause{now, now + pause};
+}
+
+void Monitor::RecordArrival(const std::string &upstream,
+                            const std::string &id) {
+  auto request = m_requests.find(id);
+  if (request == m_requests.end()) return;
+  const RequestRecord &record = request->second;
+  TimePoint now = Clock::now();
+  EntryAndUpstream key{record.m_entry, upstream};
+  auto is_excused = [&](TimePoint from) {
+    return !IsEntryUndisturbed(record.m_entry, from, now) ||
+           !IsUndisturbed(m_upstream_disturbances, from, now);
+  };
+  auto said = m_said_leaving_at.find(key);
+  bool is_after_leave =
+      said != m_said_leaving_at.end() &&
+      record.m_sent_at > said->second + m_bounds.m_drain + kTimeMargin;
+  if (is_after_leave && !is_excused(said->second)) {
+    ReportViolation("said leave", "request " + id + " reached upstream " +
+                                      upstream + " after it said it leaves");
+  }
+  auto pause = m_pauses.find(key);
+  if (pause == m_pauses.end() ||
+      now < pause->second.m_from + m_bounds.m_pause_reaction ||
+      now + kTimeMargin >= pause->second.m_until ||
+      is_excused(pause->second.m_from)) {
+    return;
+  }
+  if (++pause->second.m_arrivals <= m_bounds.m_max_arrivals_in_pause) return;
+  ReportViolation("pause", "request " + id + " reached upstream " + upstream +
+                               " although it asked for a pause");
+}
+
 void Monitor::RecordForwardedRequest(const std::string &upstream,
                                      const std::string &id) {
   auto left = m_left_at.find(upstream);
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -18,7 +18,10 @@
 struct SoakBounds {
   /** From the last fault until a host follows the control hosts again. */
   base::milliseconds m_recovery_time{4'000};
-  base::milliseconds m_drain{2'500};       ///< from leaving to the last request
+  base::milliseconds m_drain{2'500};  ///< from leaving to the last request
+  /** From a refusal with a pause until requests on their way have arrived. */
+  base::milliseconds m_pause_reaction{500};
+  int m_max_arrivals_in_pause = 2;
   base::milliseconds m_apply_time{2'500};  ///< from acknowledged to in force
   /** The same while one control host is affected by faults. */
   base::milliseconds m_max_apply_time{8'500};
@@ -102,6 +105,14 @@
 
   // Upstreams that leave.
 
+  // What upstreams say in answers, to the entry host that sent a request.
+
+  void RecordSaidLeaving(const std::string &upstream, const std::string &id);
+  void RecordPause(const std::string &upstream, const std::string &id,
+                   base::milliseconds pause);
+  /** A request reaches an upstream, which may refuse it. */
+  void RecordArrival(const std::string &upstream, const std::string &id);
+
   void RecordLeaving(const std::string &upstream, base::TimePoint at);
   /** A request arrived at an upstream, which must not have left. */
   void RecordForwardedRequest(const std::string &upstream,
@@ -192,6 +203,14 @@
   std::map<std::uint64_t, TableState> m_tables;
   std::uint64_t m_acknowledged_version = 0;
   std::map<std::string, HolderState> m_holders;  ///< by runner
+  struct Pause {
+    base::TimePoint m_from;
+    base::TimePoint m_until;
+    int m_arrivals = 0;  ///< that count against the guarantee
+  };
+  using EntryAndUpstream = std::pair<int, std::string>;
+  std::map<EntryAndUpstream, base::TimePoint> m_said_leaving_at;
+  std::map<EntryAndUpstream, Pause> m_pauses;
   std::vector<base::TimePoint> m_store_loads;
   std::vector<base::TimePoint> m_prompt_crashes;
   int m_late_crashing_prompts = 0;  ///< that count against the guarantee
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -90,6 +90,10 @@
          milliseconds(0), false},
         {FaultKind::kStopEntry, "stop_entry", 0, milliseconds(0),
          milliseconds(0), false},
+        {FaultKind::kPauseRunner, "pause_runner", 0, milliseconds(0),
+         milliseconds(0), false},
+        {FaultKind::kLeaveSilently, "leave_silently", 0, milliseconds(0),
+         milliseconds(0), false},
         {FaultKind::kLeaveRunner, "leave_runner", 0, milliseconds(0),
          milliseconds(0), false},
     }};
@@ -166,9 +170,11 @@
 
 /** Adds planned work, which must not fail any request. */
 void AddPlannedWork(Random *random, milliseconds quiet_from, SoakPlan *plan) {
-  for (FaultKind kind : {FaultKind::kLeaveRunner, FaultKind::kStopEntry}) {
+  for (FaultKind kind : {FaultKind::kPauseRunner, FaultKind::kLeaveSilently,
+                         FaultKind::kLeaveRunner, FaultKind::kStopEntry}) {
     PlannedFault fault;
     fault.m_kind = kind;
+    fault.m_duration = milliseconds(2'000);
     fault.m_at = quiet_from + kPlannedWorkDelay +
                  milliseconds(NextRandomBelow(random, 1'000));
     fault.m_target =
--- a/soak/plan_type.h
+++ b/soak/plan_type.h
@@ -35,7 +35,9 @@
   kChangeControlList,  ///< an entry host gets other control hosts, by SIGHUP
   kCrashingPrompts,    ///< some prompts crash each runner that answers them
   kStopEntry,          ///< planned work: SIGTERM, restarted after its exit
-  kLeaveRunner,  ///< planned work: a runner reports leaving, then restarts
+  kPauseRunner,        ///< planned work: a runner refuses and asks for pauses
+  kLeaveSilently,  ///< planned work: only its answers say that a runner leaves
+  kLeaveRunner,    ///< planned work: a runner reports leaving, then restarts
   kEnd,
 };
 
--- a/soak/protocol_type.h
+++ b/soak/protocol_type.h
@@ -62,6 +62,10 @@
                                   const std::string &upstream,
                                   bool is_misdirected)>
       m_make_not_run_answer;
+  /** Adds that the upstream is leaving. */
+  std::function<void(net::HttpHeaders *)> m_add_leaving;
+  /** Adds that the upstream wants no requests for a time. */
+  std::function<void(base::milliseconds, net::HttpHeaders *)> m_add_pause;
 
   // Callers.
   std::function<net::HttpRequest(const CallerRequest &)> m_encode_request;
--- a/soak/soak_run_faults.cpp
+++ b/soak/soak_run_faults.cpp
@@ -70,6 +70,8 @@
     case FaultKind::kGarbleAnswers:
     case FaultKind::kLateOrders:
     case FaultKind::kCrashingPrompts:
+    case FaultKind::kPauseRunner:
+    case FaultKind::kLeaveSilently:
     case FaultKind::kLeaveRunner:
       InjectRunnerFault(fault);
       return;
@@ -150,7 +152,9 @@
 
 void SoakRun::InjectRunnerFault(const PlannedFault &fault) {
   FakeRunner *runner = GetRunner(fault.m_target);
-  bool is_planned = fault.m_kind == FaultKind::kLeaveRunner;
+  bool is_planned = fault.m_kind == FaultKind::kLeaveRunner ||
+                    fault.m_kind == FaultKind::kPauseRunner ||
+                    fault.m_kind == FaultKind::kLeaveSilently;
   if (!is_planned) {
     m_monitor.RecordUpstreamDisturbance(Clock::now() + fault.m_duration);
   }
@@ -187,6 +191,12 @@
     case FaultKind::kMuteRunner:
       flag = &link.m_holds_backward_bytes;
       break;
+    case FaultKind::kLeaveSilently:
+      runner->LeaveSilently(kDrainTime);
+      return;
+    case FaultKind::kPauseRunner:
+      flag = &injected_faults.m_asks_for_pause;
+      break;
     case FaultKind::kSlowRunner:
       flag = &injected_faults.m_is_slow;
       break;
--- a/tests/soak.cmake
+++ b/tests/soak.cmake
@@ -7,3 +7,8 @@
   set_tests_properties(soak_seed_${seed} PROPERTIES TIMEOUT 300 LABELS slow
     RUN_SERIAL TRUE)
 endforeach()
+# A host kept an old table while handshakes with control hosts hung.
+add_test(NAME soak_seed_8004 COMMAND ww_soak --seed=8004 --duration=32s
+  --programs=${CMAKE_BINARY_DIR}/bin)
+set_tests_properties(soak_seed_8004 PROPERTIES TIMEOUT 300 LABELS slow
+  RUN_SERIAL TRUE)
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -72,6 +72,7 @@
     bounds.m_drain = milliseconds(10);
     bounds.m_apply_time = milliseconds(10);
     bounds.m_max_apply_time = milliseconds(40);
+    bounds.m_pause_reaction = milliseconds(20);
     bounds.m_quarantine_time = milliseconds(10);
     bounds.m_rollback_time = milliseconds(10);
     bounds.m_weight_mb = 200;
@@ -247,6 +248,32 @@
   }
 }
 
+TEST_F(MonitorTest, CatchesARequestAfterAnAnswerThatSaidLeaving) {
+  Send("r", "/once/", false);
+  m_monitor.RecordSaidLeaving("u1", "r");
+  Send("early", "/once/", false);
+  Pause(kLongPauseMs);
+  m_monitor.RecordArrival("u1", "early");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  Send("late", "/once/", false);
+  m_monitor.RecordArrival("u2", "late");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  m_monitor.RecordArrival("u1", "late");
+  EXPECT_EQ(GetViolatedGuarantees(), "said leave;");
+}
+
+TEST_F(MonitorTest, CatchesRequestsInAPause) {
+  Send("r", "/once/", false);
+  m_monitor.RecordPause("u1", "r", milliseconds(5'000));
+  // On their way when the pause began.
+  for (int i = 0; i < 5; ++i) m_monitor.RecordArrival("u1", "r");
+  Pause(kLongPauseMs);
+  for (int i = 0; i < 2; ++i) m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "pause;");
+}
+
 TEST_F(MonitorTest, CatchesCrashingPromptsThatGoOn) {
   for (int i = 0; i < 5; ++i) m_monitor.RecordPromptCrash();
   Send("r", "/flow/", true);
