Log answers that couldn't be sent to their caller

Streams that were cut were logged but not counted.

Change: a request whose answer can't be written has outcome "unsent" and the error of the connection in its reason; ww_answers_cut_total counts cut streams by reason.

No behaviour towards callers or runners changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -96,6 +96,7 @@
   void FinishUnanswered(RequestScope *scope);
   void Refuse(RequestScope *scope, int status, const std::string &reason,
               const std::string &message);
+  void SendAnswer(RequestScope *scope, const net::HttpResponse &response);
   void LogRequest(const RequestScope &scope) const;
   ChoiceRequest MakeChoiceRequest(const RequestScope &scope) const;
 
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -102,6 +102,14 @@
   RequestScope *m_scope;
 };
 
+/** Records whether the end of an answer reached its caller's connection. */
+inline void RecordSent(RequestScope *scope, const base::Result<void> &sent) {
+  if (sent) return;
+  scope->m_outcome = "unsent";
+  if (!scope->m_reason.empty()) scope->m_reason += ", ";
+  scope->m_reason += sent.error().m_message;
+}
+
 /** @return the time until the deadline of a request. */
 inline base::Duration GetRemaining(const RequestScope &scope,
                                    base::TimePoint now) {
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -139,9 +139,9 @@
     scope->m_is_connection_lost = true;
     return;
   }
-  (void)scope->m_exchange->EndStream();
   scope->m_outcome = "answered";
   EndAttempt(scope, AttemptEnd::kAnswered, "");
+  RecordSent(scope, scope->m_exchange->EndStream());
 }
 
 void Gateway::RelayFullResponse(RequestScope *scope, const Choice &choice,
@@ -185,8 +185,8 @@
   head.m_headers = m_protocol->m_strip_connection_headers(head.m_headers);
   scope->m_status = head.m_status;
   scope->m_outcome = "answered";
-  (void)scope->m_exchange->Respond(head);
   EndAttempt(scope, AttemptEnd::kAnswered, "");
+  SendAnswer(scope, head);
 }
 
 }  // namespace wasabiwind::gateway
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -44,6 +44,13 @@
       .Increment();
 }
 
+void CountCutAnswer(const std::string &reason) {
+  base::GetCounter("ww_answers_cut_total",
+                   "Answers that began and weren't completed",
+                   {{"reason", reason}})
+      .Increment();
+}
+
 void CountRetry(const char *reason, bool is_allowed) {
   base::GetCounter("ww_repeats_total",
                    "Further attempts by reason, and whether they were made",
@@ -342,6 +349,7 @@
     // Closes the connection, so that the answer doesn't look complete.
     scope->m_exchange->Abort();
     scope->m_outcome = "cut";
+    CountCutAnswer(scope->m_reason);
     return;
   }
   if (scope->m_possible_run_count == 0 &&
@@ -367,7 +375,13 @@
   scope->m_outcome = "refused";
   scope->m_reason = reason;
   CountRefusal(reason);
-  (void)scope->m_exchange->Respond(m_protocol->m_make_refusal(details));
+  SendAnswer(scope, m_protocol->m_make_refusal(details));
+}
+
+/** Sends a whole answer. The log tells if its caller couldn't be reached. */
+void Gateway::SendAnswer(RequestScope *scope,
+                         const net::HttpResponse &response) {
+  RecordSent(scope, scope->m_exchange->Respond(response));
 }
 
 void Gateway::LogRequest(const RequestScope &scope) const {
