Keep the attempt at a silent upstream until another one answers

Seen: callers of streams got an answer that broke off, and callers of plain repeatable requests a 502, when a sound runner was silent for a second or so and went on.

Cause: an attempt was closed after 0.4 s (no head) or 1.2 s (within a stream) of silence, and only then it was decided whether another one may follow.

Evidence: of the seven tests of gateway_silence_test four failed on the code before (stream cut without budget, stream cut after a refusal, 502 without budget, 502 after a refusal).

Change: the budget is charged before an upstream is left, and the attempt there is kept until another upstream answers; whichever answers first gets the request, and the connection to the other one is closed at once. Without another upstream or credit the request goes on waiting until its deadline.

Result: the seven tests pass, as do the other tests of the request path.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -45,40 +45,68 @@
 
 }  // namespace
 
-/** Runs one attempt and counts it in the upstream's load meanwhile. */
+/** Runs one attempt at an upstream, which excludes its other attempts. */
 void Gateway::RunAttempt(RequestScope *scope, const Choice &choice) {
   scope->m_upstream = choice.m_upstream;
   scope->m_expected_latency = choice.m_expected_latency;
   scope->m_prefill_tokens = choice.m_prefill_tokens;
-  scope->m_sent_at = base::Clock::now();
-  scope->m_splitter = EventSplitter();
-  scope->m_event_count = 0;
-  scope->m_has_forwarded_event = false;
-  scope->m_is_connection_lost = false;
+  scope->m_attempt = Attempt();
+  Attempt &attempt = scope->m_attempt;
+  attempt.m_choice = choice;
+  attempt.m_sent_at = base::Clock::now();
   UpstreamStats &stats_before = m_stats[choice.m_upstream];
-  scope->m_runner_start_ms = stats_before.m_start_time_ms;
-  ++stats_before.m_in_flight;
+  attempt.m_runner_start_ms = stats_before.m_start_time_ms;
   stats_before.m_prefill_tokens += choice.m_prefill_tokens;
   ReportRunnerLoad(*scope, gen::LOAD_SENT);
-  SendAndRelay(scope, choice);
-  scope->m_call = nullptr;
+  RunCountedAttempt(scope, [this, scope] {
+    if (SendRequest(scope)) RelayAnswer(scope);
+  });
   ReportRunnerLoad(*scope, gen::LOAD_OVER);
   UpstreamStats &stats_after = m_stats[choice.m_upstream];
-  stats_after.m_in_flight = std::max(0, stats_after.m_in_flight - 1);
   stats_after.m_prefill_tokens -= std::min<std::uint64_t>(
       stats_after.m_prefill_tokens, choice.m_prefill_tokens);
+}
+
+/** Goes on with the attempt at an upstream that was silent, since no other one
+ * has taken the request. */
+void Gateway::ResumeSilentAttempt(RequestScope *scope) {
+  scope->m_attempt = std::move(*scope->m_silent_attempt);
+  scope->m_silent_attempt.reset();
+  scope->m_cancel_reason = nullptr;
+  scope->m_upstream = scope->m_attempt.m_choice.m_upstream;
+  // It is counted again when it ends.
+  --scope->m_possible_run_count;
+  LogEvent(LogLevel::kInfo, "attempt_resumed",
+           {{"request", scope->m_metadata.m_id},
+            {"upstream", scope->m_upstream},
+            {"reason", scope->m_reason},
+            {"events", scope->m_attempt.m_event_count}});
+  RunCountedAttempt(scope, [this, scope] { RelayAnswer(scope); });
+}
+
+/** Runs an attempt, counts it in the upstream's load meanwhile and records what
+ * it came to. Closes its connection unless it may go on. */
+void Gateway::RunCountedAttempt(RequestScope *scope,
+                                const std::function<void()> &run) {
+  scope->m_attempt_end = AttemptEnd::kUnknown;
+  ++m_stats[scope->m_upstream].m_in_flight;
+  run();
+  UpstreamStats &stats = m_stats[scope->m_upstream];
+  stats.m_in_flight = std::max(0, stats.m_in_flight - 1);
   RecordPromptOutcome(*scope);
+  bool is_silent = scope->m_attempt_end == AttemptEnd::kSilent;
+  if (!is_silent) scope->m_attempt.m_call.reset();
   if (scope->m_attempt_end == AttemptEnd::kAnswered) return;
-  LogEvent(LogLevel::kInfo, "attempt_failed",
+  LogEvent(LogLevel::kInfo, is_silent ? "attempt_silent" : "attempt_failed",
            {{"request", scope->m_metadata.m_id},
-            {"upstream", choice.m_upstream},
+            {"upstream", scope->m_upstream},
             {"reason", scope->m_reason},
             {"may_have_run", scope->m_attempt_end != AttemptEnd::kNotRun},
             {"head_sent", scope->m_is_head_sent},
-            {"events", scope->m_event_count},
+            {"events", scope->m_attempt.m_event_count},
             {"parts", FormatKeys(scope->m_part_keys)},
-            {"took_ms",
-             base::ToMilliseconds(base::Clock::now() - scope->m_sent_at)}});
+            {"took_ms", base::ToMilliseconds(base::Clock::now() -
+                                             scope->m_attempt.m_sent_at)}});
 }
 
 /**
@@ -107,25 +135,28 @@
   if (scope.m_part_keys.empty()) return;
   bool is_answered =
       scope.m_attempt_end == AttemptEnd::kAnswered && IsSuccess(scope.m_status);
-  if (is_answered || scope.m_event_count >= kSoundEventCount) {
+  if (is_answered || scope.m_attempt.m_event_count >= kSoundEventCount) {
     RecordSoundPrompt(&m_prompt_evidence, scope.m_part_keys);
     return;
   }
-  if (!scope.m_is_connection_lost) return;
+  if (!scope.m_attempt.m_is_connection_lost) return;
   gen::LostPrompt prompt;
   prompt.set_upstream(scope.m_upstream);
-  prompt.set_born_ms(scope.m_runner_start_ms);
+  prompt.set_born_ms(scope.m_attempt.m_runner_start_ms);
   for (std::uint64_t part : scope.m_part_keys) prompt.add_parts(part);
   RecordLostPrompt(&m_prompt_evidence, std::move(prompt), base::Clock::now());
   m_is_use_report_urgent = true;
 }
 
-void Gateway::SendAndRelay(RequestScope *scope, const Choice &choice) {
+/** Sends the request to the chosen upstream. @return false if the attempt has
+ * ended */
+bool Gateway::SendRequest(RequestScope *scope) {
+  const Choice &choice = scope->m_attempt.m_choice;
   base::TimePoint now = base::Clock::now();
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(choice.m_address);
   if (!endpoint) {
     EndAttempt(scope, AttemptEnd::kNotRun, "address_unreadable");
-    return;
+    return false;
   }
   ForwardMetadata metadata;
   metadata.m_remaining =
@@ -158,66 +189,98 @@
     if (!is_not_run) ++scope->m_send_count;
     EndAttempt(scope, is_not_run ? AttemptEnd::kNotRun : AttemptEnd::kUnknown,
                is_not_run ? "no_connection" : "send_failed");
-    return;
+    return false;
   }
   ++scope->m_send_count;
   if (scope->m_is_model_declared) {
     bool has_adapter = !scope->m_metadata.m_adapter.empty();
     GetTargetCounts(*scope, has_adapter).m_upstreams.insert(choice.m_upstream);
   }
-  scope->m_call = start.m_call.get();
-  if (scope->m_is_caller_gone) {
-    EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
-    return;
-  }
-  net::HttpResponse head;
-  if (!AwaitHead(scope, choice, start, &head)) return;
+  scope->m_attempt.m_call = std::move(start.m_call);
+  scope->m_attempt.m_is_connection_reused = start.m_is_reused;
+  if (!scope->m_is_caller_gone) return true;
+  EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+  return false;
+}
+
+/** Waits for the answer of an attempt, unless it has begun, and relays it. */
+void Gateway::RelayAnswer(RequestScope *scope) {
+  if (!scope->m_attempt.m_head && !AwaitHead(scope)) return;
   bool is_stream = scope->m_route->kind() == gen::ROUTE_STREAM;
-  if (is_stream && IsSuccess(head.m_status)) {
-    RelayStream(scope, choice, start.m_call.get(), head);
+  if (is_stream && IsSuccess(scope->m_attempt.m_head->m_status)) {
+    RelayStream(scope);
   } else {
-    RelayFullResponse(scope, choice, start.m_call.get(), std::move(head));
+    RelayFullResponse(scope);
   }
 }
 
-bool Gateway::HasAlternative(const RequestScope &scope, const Choice &choice) {
+bool Gateway::HasAlternative(const RequestScope &scope) {
   ChoiceRequest request = MakeChoiceRequest(scope);
-  request.m_excluded.insert(choice.m_upstream);
+  request.m_excluded.insert(scope.m_upstream);
   Choice other = ChooseUpstream(m_follower.m_view, &m_stats, m_location,
                                 request, base::Clock::now());
   return other.m_problem == ChoiceProblem::kNone && !other.m_is_silent;
 }
 
+/**
+ * Reads from the upstream of the current attempt. Whenever nothing comes for a
+ * while, another upstream may be tried, which ends the attempt as silent.
+ * @param patience how long nothing may come
+ * @param reason of the end, if the attempt ends as silent
+ * @param read_until reads until a time; returns whether nothing came
+ */
+void Gateway::ReadOrLeave(
+    RequestScope *scope, base::Duration patience, const char *reason,
+    const std::function<bool(base::TimePoint)> &read_until) {
+  bool may_leave = HasAttemptsLeft(*scope) && !scope->m_silent_attempt;
+  bool was_silent = false;
+  while (true) {
+    base::TimePoint now = base::Clock::now();
+    base::TimePoint limit = scope->m_deadline;
+    if (may_leave) limit = std::min(limit, now + patience);
+    bool is_silent = read_until(limit) && limit < scope->m_deadline;
+    if (!is_silent) return;
+    if (!was_silent) {
+      RecordFailure(&m_stats[scope->m_upstream], kFailureWeight,
+                    base::Clock::now());
+    }
+    was_silent = true;
+    if (LeaveSilentUpstream(scope, reason)) return;
+  }
+}
+
 /** Waits for status and headers. @return false if the attempt has ended */
-bool Gateway::AwaitHead(RequestScope *scope, const Choice &choice,
-                        const net::HttpClientPool::StartResult &start,
-                        net::HttpResponse *head) {
+bool Gateway::AwaitHead(RequestScope *scope) {
   base::milliseconds late_time = std::max(
-      kMinLateAnswerTime, choice.m_expected_latency * kLateAnswerFactor);
-  bool may_retry_elsewhere =
-      HasAttemptsLeft(*scope) && HasAlternative(*scope, choice);
-  base::TimePoint limit =
-      may_retry_elsewhere
-          ? std::min(scope->m_deadline, base::Clock::now() + late_time)
-          : scope->m_deadline;
-  base::Result<net::HttpResponse> answer = start.m_call->ReadHead(limit);
-  bool is_late = !answer && limit < scope->m_deadline &&
-                 answer.error().m_kind == base::ErrorKind::kTimeout;
-  UpstreamStats &stats = m_stats[choice.m_upstream];
-  if (!answer) {
-    EndFailedRead(scope, answer.error());
-    if (is_late) EndAttempt(scope, AttemptEnd::kUnknown, "late");
-    if (scope->m_attempt_end != AttemptEnd::kCallerGone) {
-      RecordFailure(&stats, kFailureWeight, base::Clock::now());
-    }
-    return false;
+      kMinLateAnswerTime,
+      scope->m_attempt.m_choice.m_expected_latency * kLateAnswerFactor);
+  base::Result<net::HttpResponse> head;
+  ReadOrLeave(scope, late_time, "late", [scope, &head](base::TimePoint limit) {
+    head = scope->m_attempt.m_call->ReadHead(limit);
+    return IsTimeout(head);
+  });
+  if (scope->m_attempt_end == AttemptEnd::kSilent) return false;
+  if (head) return AcceptHead(scope, std::move(*head));
+  EndFailedRead(scope, head.error());
+  if (scope->m_attempt_end != AttemptEnd::kCallerGone) {
+    RecordFailure(&m_stats[scope->m_upstream], kFailureWeight,
+                  base::Clock::now());
   }
-  ResponseMetadata metadata = m_protocol->m_decode_response(
-      *answer, scope->m_metadata, choice.m_upstream);
+  return false;
+}
+
+/** Checks whether a response answers the request. @return false if the attempt
+ * has ended */
+bool Gateway::AcceptHead(RequestScope *scope, net::HttpResponse head) {
+  Attempt &attempt = scope->m_attempt;
+  const std::string &upstream = scope->m_upstream;
+  UpstreamStats &stats = m_stats[upstream];
+  ResponseMetadata metadata =
+      m_protocol->m_decode_response(head, scope->m_metadata, upstream);
   bool is_for_request =
-      IsForRequest(metadata, answer->m_status, start.m_is_reused);
+      IsForRequest(metadata, head.m_status, attempt.m_is_connection_reused);
   if (is_for_request && !metadata.m_is_from_other_upstream) {
-    RecordLeavingOrPause(choice.m_upstream, scope->m_runner_start_ms, metadata);
+    RecordLeavingOrPause(upstream, attempt.m_runner_start_ms, metadata);
   }
   if (is_for_request && metadata.m_is_not_run) {
     RecordFailure(&stats, kRefusalWeight, base::Clock::now());
@@ -237,14 +300,14 @@
   }
   // Another server may have answered, or a proxy changed the answer.
   bool is_foreign = !is_for_request || metadata.m_has_content_encoding ||
-                    (IsSuccess(answer->m_status) && !metadata.m_is_signed);
+                    (IsSuccess(head.m_status) && !metadata.m_is_signed);
   if (is_foreign) {
-    start.m_call->Discard();
+    attempt.m_call->Discard();
     RecordFailure(&stats, kFailureWeight, base::Clock::now());
     EndAttempt(scope, AttemptEnd::kUnknown, "foreign_answer");
     return false;
   }
-  *head = std::move(*answer);
+  attempt.m_head = std::move(head);
   return true;
 }
 
--- a/src/gateway/attempt_internal.h
+++ b/src/gateway/attempt_internal.h
@@ -27,10 +27,15 @@
     EndAttempt(scope, AttemptEnd::kUnknown, scope->m_cancel_reason);
   } else {
     EndAttempt(scope, AttemptEnd::kUnknown, "connection_lost");
-    scope->m_is_connection_lost = true;
+    scope->m_attempt.m_is_connection_lost = true;
   }
 }
 
+template <typename Value>
+bool IsTimeout(const base::Result<Value> &result) {
+  return !result && result.error().m_kind == base::ErrorKind::kTimeout;
+}
+
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
 
 /** @return whether the route allows another attempt after the current one. */
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -166,11 +166,12 @@
 /** Ends requests that would crash their runner as soon as it answers them. */
 void Gateway::CancelQuarantinedRequests() {
   for (RequestScope *scope : m_active_requests) {
+    const Attempt &attempt = scope->m_attempt;
     bool is_waiting_for_event =
-        scope->m_call != nullptr && scope->m_event_count < kSoundEventCount;
+        attempt.m_call != nullptr && attempt.m_event_count < kSoundEventCount;
     if (!is_waiting_for_event || !IsPromptQuarantined(*scope)) continue;
     scope->m_cancel_reason = kQuarantineReason;
-    scope->m_call->Cancel();
+    attempt.m_call->Cancel();
   }
 }
 
@@ -291,7 +292,8 @@
 /** Reports upstreams that run requests now and those that are unreachable. */
 void Gateway::AddUpstreamsInUse(gen::UseReport *report, base::TimePoint now) {
   for (RequestScope *scope : m_active_requests) {
-    bool runs_model = scope->m_call != nullptr && scope->m_is_model_declared;
+    bool runs_model =
+        scope->m_attempt.m_call != nullptr && scope->m_is_model_declared;
     if (!runs_model) continue;
     bool has_adapter = !scope->m_metadata.m_adapter.empty();
     GetTargetCounts(*scope, has_adapter).m_upstreams.insert(scope->m_upstream);
@@ -314,11 +316,27 @@
   for (RequestScope *scope : m_active_requests) {
     if (scope->m_is_caller_gone || !scope->m_exchange->IsPeerGone()) continue;
     scope->m_is_caller_gone = true;
-    if (scope->m_call != nullptr) scope->m_call->Cancel();
+    if (scope->m_attempt.m_call != nullptr) scope->m_attempt.m_call->Cancel();
     m_view_changed.notify_all();
   }
 }
 
+/** Ends attempts that have no answer yet while the silent upstream, instead of
+ * which they were made, answers again. */
+void Gateway::ResumeAwakenedAttempts() {
+  for (RequestScope *scope : m_active_requests) {
+    const Attempt &attempt = scope->m_attempt;
+    bool has_two_attempts = scope->m_silent_attempt &&
+                            attempt.m_call != nullptr &&
+                            !attempt.m_has_begun_answer;
+    if (!has_two_attempts || !scope->m_silent_attempt->m_call->HasInput()) {
+      continue;
+    }
+    scope->m_cancel_reason = kAnswersAgainReason;
+    attempt.m_call->Cancel();
+  }
+}
+
 void Gateway::RunTimers() {
   while (!m_is_stopped) {
     base::TimePoint now = base::Clock::now();
@@ -330,6 +348,7 @@
     ForgetRunnerLoads(&m_runner_loads, now);
     SendUseReport(now);
     CancelAbandonedRequests();
+    ResumeAwakenedAttempts();
     net::SleepFor(kTimerPeriod);
   }
 }
@@ -349,7 +368,7 @@
   m_is_ending_requests = true;
   for (RequestScope *scope : m_active_requests) {
     scope->m_cancel_reason = kStoppingReason;
-    if (scope->m_call != nullptr) scope->m_call->Cancel();
+    if (scope->m_attempt.m_call != nullptr) scope->m_attempt.m_call->Cancel();
   }
   m_view_changed.notify_all();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,6 +90,9 @@
   bool Admit(RequestScope *scope);
   void WaitForRoutes(RequestScope *scope);
   void Serve(RequestScope *scope);
+  bool EndIfDue(RequestScope *scope, base::TimePoint now);
+  bool RunNextAttempt(RequestScope *scope, base::TimePoint now);
+  bool HandleAttemptEnd(RequestScope *scope);
   bool WaitForChoice(RequestScope *scope, const Choice &choice);
   base::TimePoint GetWaitEnd(const RequestScope &scope) const;
   bool MayRetry(RequestScope *scope, const char *reason);
@@ -102,22 +105,26 @@
 
   // attempt.cpp
   void RunAttempt(RequestScope *scope, const Choice &choice);
-  void SendAndRelay(RequestScope *scope, const Choice &choice);
-  bool AwaitHead(RequestScope *scope, const Choice &choice,
-                 const net::HttpClientPool::StartResult &start,
-                 net::HttpResponse *head);
-  bool HasAlternative(const RequestScope &scope, const Choice &choice);
+  void ResumeSilentAttempt(RequestScope *scope);
+  void RunCountedAttempt(RequestScope *scope, const std::function<void()> &run);
+  bool SendRequest(RequestScope *scope);
+  void RelayAnswer(RequestScope *scope);
+  void ReadOrLeave(RequestScope *scope, base::Duration patience,
+                   const char *reason,
+                   const std::function<bool(base::TimePoint)> &read_until);
+  bool AwaitHead(RequestScope *scope);
+  bool AcceptHead(RequestScope *scope, net::HttpResponse head);
+  bool HasAlternative(const RequestScope &scope);
+  bool LeaveSilentUpstream(RequestScope *scope, const char *reason);
   void RecordLeavingOrPause(const std::string &upstream, std::uint64_t start_ms,
                             const ResponseMetadata &metadata);
   void RecordPromptOutcome(const RequestScope &scope);
 
   // relay.cpp
-  void RelayStream(RequestScope *scope, const Choice &choice,
-                   net::HttpCall *call, const net::HttpResponse &head);
-  void RelayFullResponse(RequestScope *scope, const Choice &choice,
-                         net::HttpCall *call, net::HttpResponse head);
-  bool ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
-                     const std::string &bytes);
+  void RelayStream(RequestScope *scope);
+  void RecordStreamBytes(RequestScope *scope);
+  void RelayFullResponse(RequestScope *scope);
+  bool ForwardEvents(RequestScope *scope, const std::string &bytes);
 
   // gateway_load.cpp
   Choice ChooseByRunnerLoad(RequestScope *scope, base::TimePoint now);
@@ -135,6 +142,7 @@
   bool IsPromptQuarantined(const RequestScope &scope) const;
   void CancelQuarantinedRequests();
   void CancelAbandonedRequests();
+  void ResumeAwakenedAttempts();
   void ForgetStats();
   void SendUseReport(base::TimePoint now);
   void AddUpstreamsInUse(gen::UseReport *report, base::TimePoint now);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -15,6 +15,10 @@
 /** Reason of answers to requests that a stop of this host cuts short. */
 inline constexpr const char *kStoppingReason = "stopping";
 
+/** Reason of the end of an attempt because the silent upstream, instead of
+ * which it was made, answers again. */
+inline constexpr const char *kAnswersAgainReason = "first_upstream_answers";
+
 /** How an attempt ended. */
 enum class AttemptEnd : std::uint8_t {
   kAnswered,  ///< the caller has the whole answer
@@ -22,9 +26,27 @@
   kUnknown,   ///< it may have run, or it ran and failed
   kTimedOut,  ///< the deadline of the request has passed
   kCallerGone,
+  kSilent,  ///< it goes on, but its upstream is silent: try another one
   kEnd,
 };
 
+/** State of one attempt of a request at one upstream. */
+struct Attempt {
+  Choice m_choice;
+  std::uint64_t m_runner_start_ms = 0;  ///< start of the upstream's process
+  base::TimePoint m_sent_at;
+  std::unique_ptr<net::HttpCall> m_call;  ///< nullptr if it isn't under way
+  bool m_is_connection_reused = false;
+  std::optional<net::HttpResponse> m_head;  ///< once it was accepted
+  /** A body byte of a stream arrived, or the head of another answer. */
+  bool m_has_begun_answer = false;
+  EventSplitter m_splitter;
+  int m_event_count = 0;  ///< whole events of a stream
+  /** The caller got an event from it; without one a stream isn't complete. */
+  bool m_has_forwarded_event = false;
+  bool m_is_connection_lost = false;  ///< before the end of the answer
+};
+
 /** State of one request over all its attempts. */
 struct RequestScope {
   const net::HttpRequest *m_request = nullptr;
@@ -50,17 +72,13 @@
   int m_not_run_count = 0;       ///< attempts that certainly didn't run
   bool m_is_head_sent = false;   ///< the caller has status and headers
   std::optional<std::uint64_t> m_last_event_id;  ///< sent to the caller
-  EventSplitter m_splitter;
 
-  // The attempt in progress.
-  net::HttpCall *m_call = nullptr;
-  std::uint64_t m_runner_start_ms = 0;  ///< start of the upstream's process
+  Attempt m_attempt;  ///< the last one
   AttemptEnd m_attempt_end = AttemptEnd::kUnknown;
-  int m_event_count = 0;  ///< whole events of a stream
-  /** The caller got an event from it; without one a stream isn't complete. */
-  bool m_has_forwarded_event = false;
-  bool m_is_connection_lost = false;  ///< before the end of the answer
-  std::string m_reason;               ///< why the attempt failed
+  std::string m_reason;  ///< why the attempt failed
+  /** An attempt at a silent upstream, kept until another one answers: if none
+   * does, the request still depends on it. */
+  std::optional<Attempt> m_silent_attempt;
   /** Set if all suitable upstreams pause for longer than the caller waits. */
   base::TimePoint m_pause_ends_at;
 
@@ -77,7 +95,6 @@
   int m_status = 0;       ///< 0 if none was sent
   std::string m_outcome;
   base::Duration m_wait_time{0};  ///< for an upstream that can run it
-  base::TimePoint m_sent_at;      ///< of the last attempt
   /** First byte of a stream, or the end of another answer. */
   base::TimePoint m_first_byte_at;
   base::TimePoint m_last_byte_at;   ///< last byte of a stream so far
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -44,16 +44,16 @@
  * Forwards complete events to the caller, without those it has already.
  * @return false if the attempt has ended
  */
-bool Gateway::ForwardEvents(RequestScope *scope, const net::HttpResponse &head,
-                            const std::string &bytes) {
+bool Gateway::ForwardEvents(RequestScope *scope, const std::string &bytes) {
+  Attempt &attempt = scope->m_attempt;
   std::vector<StreamEvent> events;
-  if (!SplitEvents(&scope->m_splitter, bytes, &events)) {
+  if (!SplitEvents(&attempt.m_splitter, bytes, &events)) {
     EndAttempt(scope, AttemptEnd::kUnknown, "event_too_long");
     return false;
   }
-  bool was_sound = scope->m_event_count >= kSoundEventCount;
-  scope->m_event_count += static_cast<int>(events.size());
-  if (!was_sound && scope->m_event_count >= kSoundEventCount) {
+  bool was_sound = attempt.m_event_count >= kSoundEventCount;
+  attempt.m_event_count += static_cast<int>(events.size());
+  if (!was_sound && attempt.m_event_count >= kSoundEventCount) {
     RecordSoundPrompt(&m_prompt_evidence, scope->m_part_keys);
   }
   std::string text;
@@ -75,9 +75,10 @@
   base::Result<void> sent;
   if (!scope->m_is_head_sent) {
     scope->m_is_head_sent = true;
-    scope->m_status = head.m_status;
+    scope->m_status = attempt.m_head->m_status;
     sent = scope->m_exchange->BeginStream(
-        head.m_status, m_protocol->m_strip_connection_headers(head.m_headers));
+        attempt.m_head->m_status,
+        m_protocol->m_strip_connection_headers(attempt.m_head->m_headers));
   }
   if (sent) sent = scope->m_exchange->WriteStream(text);
   if (!sent) {
@@ -85,58 +86,65 @@
     return false;
   }
   scope->m_last_event_id = last;
-  scope->m_has_forwarded_event = true;
+  attempt.m_has_forwarded_event = true;
   return true;
 }
 
-void Gateway::RelayStream(RequestScope *scope, const Choice &choice,
-                          net::HttpCall *call, const net::HttpResponse &head) {
+/** Records that bytes of a stream have arrived; with the first ones, its
+ * upstream has taken the request over from a silent one. */
+void Gateway::RecordStreamBytes(RequestScope *scope) {
+  Attempt &attempt = scope->m_attempt;
+  base::TimePoint now = base::Clock::now();
+  if (scope->m_last_byte_at != base::TimePoint()) {
+    scope->m_longest_gap =
+        std::max(scope->m_longest_gap, now - scope->m_last_byte_at);
+  }
+  scope->m_last_byte_at = now;
+  if (attempt.m_has_begun_answer) return;
+  attempt.m_has_begun_answer = true;
+  scope->m_silent_attempt.reset();
+  ReportRunnerLoad(*scope, gen::LOAD_READ);
+  if (scope->m_first_byte_at == base::TimePoint()) scope->m_first_byte_at = now;
+  UpstreamStats &stats = m_stats[scope->m_upstream];
+  RecordSuccess(&stats, now - attempt.m_sent_at,
+                attempt.m_choice.m_expected_latency, now);
+  RecordCachedPrompt(&stats.m_prefix_cache, scope->m_metadata,
+                     scope->m_prefix_keys,
+                     scope->m_service->engine().kv_tokens());
+}
+
+void Gateway::RelayStream(RequestScope *scope) {
+  Attempt &attempt = scope->m_attempt;
   base::milliseconds max_gap(scope->m_route->max_gap_ms());
-  base::milliseconds stall_time =
-      std::max(kMinStallTime, max_gap * kStallFactor);
-  bool is_first = true;
+  base::Duration stall_time = std::max(kMinStallTime, max_gap * kStallFactor);
   while (true) {
-    bool may_retry_elsewhere =
-        HasAttemptsLeft(*scope) && !is_first && HasAlternative(*scope, choice);
-    base::TimePoint limit = scope->m_deadline;
-    if (may_retry_elsewhere)
-      limit = std::min(limit, base::Clock::now() + stall_time);
+    // Before the first byte the prompt may be queued or being prefilled.
+    base::Duration patience = attempt.m_has_begun_answer
+                                  ? stall_time
+                                  : GetRemaining(*scope, base::Clock::now());
     std::string bytes;
-    base::Result<bool> more = call->ReadSome(&bytes, limit);
-    base::TimePoint now = base::Clock::now();
+    base::Result<bool> more;
+    ReadOrLeave(scope, patience, "stalled", [&](base::TimePoint limit) {
+      more = attempt.m_call->ReadSome(&bytes, limit);
+      return IsTimeout(more);
+    });
+    if (scope->m_attempt_end == AttemptEnd::kSilent) return;
     if (!more) {
-      bool is_stalled = limit < scope->m_deadline &&
-                        more.error().m_kind == base::ErrorKind::kTimeout;
       EndFailedRead(scope, more.error());
-      if (is_stalled) EndAttempt(scope, AttemptEnd::kUnknown, "stalled");
       if (scope->m_attempt_end == AttemptEnd::kUnknown) {
-        RecordFailure(&m_stats[choice.m_upstream], kFailureWeight, now);
+        RecordFailure(&m_stats[scope->m_upstream], kFailureWeight,
+                      base::Clock::now());
       }
       return;
     }
     if (!*more) break;
-    if (scope->m_last_byte_at != base::TimePoint()) {
-      scope->m_longest_gap =
-          std::max(scope->m_longest_gap, now - scope->m_last_byte_at);
-    }
-    scope->m_last_byte_at = now;
-    if (is_first) {
-      is_first = false;
-      ReportRunnerLoad(*scope, gen::LOAD_READ);
-      if (scope->m_first_byte_at == base::TimePoint())
-        scope->m_first_byte_at = now;
-      UpstreamStats &stats = m_stats[choice.m_upstream];
-      RecordSuccess(&stats, now - scope->m_sent_at, choice.m_expected_latency,
-                    now);
-      RecordCachedPrompt(&stats.m_prefix_cache, scope->m_metadata,
-                         scope->m_prefix_keys,
-                         scope->m_service->engine().kv_tokens());
-    }
-    if (!ForwardEvents(scope, head, bytes)) return;
+    RecordStreamBytes(scope);
+    if (!ForwardEvents(scope, bytes)) return;
   }
-  if (!IsAtEventBoundary(scope->m_splitter) || !scope->m_has_forwarded_event) {
+  if (!IsAtEventBoundary(attempt.m_splitter) ||
+      !attempt.m_has_forwarded_event) {
     EndAttempt(scope, AttemptEnd::kUnknown, "stream_incomplete");
-    scope->m_is_connection_lost = true;
+    attempt.m_is_connection_lost = true;
     return;
   }
   scope->m_outcome = "answered";
@@ -144,15 +152,18 @@
   RecordSent(scope, scope->m_exchange->EndStream());
 }
 
-void Gateway::RelayFullResponse(RequestScope *scope, const Choice &choice,
-                                net::HttpCall *call, net::HttpResponse head) {
+void Gateway::RelayFullResponse(RequestScope *scope) {
+  Attempt &attempt = scope->m_attempt;
+  net::HttpResponse &head = *attempt.m_head;
+  attempt.m_has_begun_answer = true;
   BufferedBytesGuard buffered{&m_buffered_body_bytes};
   while (true) {
-    base::Result<bool> more = call->ReadSome(&head.m_body, scope->m_deadline);
+    base::Result<bool> more =
+        attempt.m_call->ReadSome(&head.m_body, scope->m_deadline);
     if (!more) {
       EndFailedRead(scope, more.error());
       if (scope->m_attempt_end == AttemptEnd::kUnknown) {
-        RecordFailure(&m_stats[choice.m_upstream], kFailureWeight,
+        RecordFailure(&m_stats[scope->m_upstream], kFailureWeight,
                       base::Clock::now());
       }
       return;
@@ -170,12 +181,13 @@
   bool is_failure = head.m_status >= 500;
 
   if (is_failure) {
-    RecordFailure(&m_stats[choice.m_upstream], kFailureWeight, now);
+    RecordFailure(&m_stats[scope->m_upstream], kFailureWeight, now);
   } else {
-    RecordSuccess(&m_stats[choice.m_upstream], now - scope->m_sent_at,
-                  choice.m_expected_latency, now);
+    RecordSuccess(&m_stats[scope->m_upstream], now - attempt.m_sent_at,
+                  attempt.m_choice.m_expected_latency, now);
   }
-  bool may_retry = is_failure && HasAttemptsLeft(*scope);
+  bool may_retry =
+      is_failure && (HasAttemptsLeft(*scope) || scope->m_silent_attempt);
   if (may_retry || ImpliesNotRun(head.m_status) || scope->m_is_head_sent) {
     // The request may have run, so its caller must not get a status that
     // implies that it didn't.
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -6,7 +6,7 @@
 
 #include "base/log_func.h"
 #include "base/metrics_func.h"
-#include "gateway/gateway_internal.h"
+#include "gateway/attempt_internal.h"
 #include "net/fiber_scheduler.h"
 
 namespace wasabiwind::gateway {
@@ -235,61 +235,116 @@
   return is_allowed;
 }
 
+/**
+ * Decides whether another upstream may be tried while that of the current
+ * attempt is silent, and charges the retry budget. Without another upstream or
+ * credit the attempt goes on: giving it up would end the request, although its
+ * upstream may only have paused.
+ * @param reason how the silence showed
+ * @return whether the attempt has ended as silent
+ */
+bool Gateway::LeaveSilentUpstream(RequestScope *scope, const char *reason) {
+  bool is_possible = HasAttemptsLeft(*scope) && !scope->m_silent_attempt &&
+                     scope->m_not_run_count <= kMaxNotRunAttempts &&
+                     HasAlternative(*scope);
+  if (!is_possible) return false;
+  bool is_allowed = SpendBudget(&GetRetryBudget(scope->m_service->name()));
+  CountRetry(reason, is_allowed);
+  if (is_allowed) EndAttempt(scope, AttemptEnd::kSilent, reason);
+  return is_allowed;
+}
+
 void Gateway::Serve(RequestScope *scope) {
   while (true) {
     base::TimePoint now = base::Clock::now();
-    if (scope->m_is_caller_gone) {
-      scope->m_outcome = "caller_gone";
-      return;
-    }
-    if (GetRemaining(*scope, now) < kMinSendTime) {
-      scope->m_reason = "timeout";
-      FinishUnanswered(scope);
-      return;
-    }
-    if (IsPromptQuarantined(*scope)) {
-      scope->m_reason = kQuarantineReason;
-      FinishUnanswered(scope);
-      return;
-    }
-    if (m_is_ending_requests) {
-      scope->m_reason = kStoppingReason;
-      FinishUnanswered(scope);
-      return;
-    }
-    Choice choice = ChooseByRunnerLoad(scope, now);
-    if (choice.m_problem != ChoiceProblem::kNone) {
-      if (WaitForChoice(scope, choice)) continue;
-      if (scope->m_is_caller_gone) continue;
-      scope->m_reason = GetProblemName(choice.m_problem);
-      FinishUnanswered(scope);
+    if (EndIfDue(scope, now)) return;
+    if (RunNextAttempt(scope, now)) {
+      if (HandleAttemptEnd(scope)) return;
+    } else if (!scope->m_outcome.empty()) {
       return;
     }
+  }
+}
+
+/** Ends a request that may get no further attempt, whatever the last one came
+ * to. @return whether it has ended */
+bool Gateway::EndIfDue(RequestScope *scope, base::TimePoint now) {
+  if (scope->m_is_caller_gone) {
+    scope->m_outcome = "caller_gone";
+    return true;
+  }
+  const char *reason = nullptr;
+  if (GetRemaining(*scope, now) < kMinSendTime) {
+    reason = "timeout";
+  } else if (IsPromptQuarantined(*scope)) {
+    reason = kQuarantineReason;
+  } else if (m_is_ending_requests) {
+    reason = kStoppingReason;
+  }
+  if (reason == nullptr) return false;
+  scope->m_reason = reason;
+  FinishUnanswered(scope);
+  return true;
+}
+
+/**
+ * Runs an attempt at the best upstream, or goes on with the silent one if no
+ * other upstream has taken the request.
+ * @return false if no attempt was run: the request has waited for an upstream,
+ *         or it has ended and has an outcome
+ */
+bool Gateway::RunNextAttempt(RequestScope *scope, base::TimePoint now) {
+  bool other_has_failed = scope->m_attempt_end != AttemptEnd::kSilent;
+  if (scope->m_silent_attempt && other_has_failed) {
+    ResumeSilentAttempt(scope);
+    return true;
+  }
+  Choice choice = ChooseByRunnerLoad(scope, now);
+  if (choice.m_problem == ChoiceProblem::kNone) {
     RunAttempt(scope, choice);
-    switch (scope->m_attempt_end) {
-      case AttemptEnd::kAnswered:
-        return;
-      case AttemptEnd::kCallerGone:
-        scope->m_is_caller_gone = true;
-        continue;
-      case AttemptEnd::kTimedOut:
-        FinishUnanswered(scope);
-        return;
-      case AttemptEnd::kNotRun:
-        ++scope->m_not_run_count;
-        break;
-      case AttemptEnd::kUnknown:
-      case AttemptEnd::kEnd:
-        ++scope->m_possible_run_count;
-        break;
-    }
-    if (IsPromptQuarantined(*scope) || m_is_ending_requests) continue;
-    scope->m_excluded.insert(choice.m_upstream);
-    if (!MayRetry(scope, scope->m_reason.c_str())) {
+    return true;
+  }
+  if (scope->m_silent_attempt) {
+    ResumeSilentAttempt(scope);
+    return true;
+  }
+  if (WaitForChoice(scope, choice) || scope->m_is_caller_gone) return false;
+  scope->m_reason = GetProblemName(choice.m_problem);
+  FinishUnanswered(scope);
+  return false;
+}
+
+/** Decides what follows an attempt. @return whether the request has ended */
+bool Gateway::HandleAttemptEnd(RequestScope *scope) {
+  switch (scope->m_attempt_end) {
+    case AttemptEnd::kAnswered:
+      return true;
+    case AttemptEnd::kCallerGone:
+      scope->m_is_caller_gone = true;
+      return false;
+    case AttemptEnd::kTimedOut:
       FinishUnanswered(scope);
-      return;
-    }
+      return true;
+    case AttemptEnd::kSilent:
+      ++scope->m_possible_run_count;
+      scope->m_excluded.insert(scope->m_upstream);
+      scope->m_silent_attempt = std::move(scope->m_attempt);
+      scope->m_attempt = Attempt();
+      return false;
+    case AttemptEnd::kNotRun:
+      ++scope->m_not_run_count;
+      break;
+    case AttemptEnd::kUnknown:
+    case AttemptEnd::kEnd:
+      ++scope->m_possible_run_count;
+      break;
   }
+  if (IsPromptQuarantined(*scope) || m_is_ending_requests) return false;
+  scope->m_excluded.insert(scope->m_upstream);
+  if (scope->m_silent_attempt) return false;
+  if (MayRetry(scope, scope->m_reason.c_str())) return false;
+  FinishUnanswered(scope);
+  return true;
 }
 
 /** @return the time at which a request that waits is refused. */
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -229,6 +229,13 @@
     }
   }
 
+  bool HasInput() override {
+    if (m_connection->m_buffer.size() > 0) return true;
+    char byte = 0;
+    return ::recv(m_connection->m_socket.Socket().native_handle(), &byte, 1,
+                  MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   SendState GetSendState() const override { return SendState::kFullySent; }
 
   void Discard() override { m_discard = true; }
@@ -271,7 +278,7 @@
 
   tl::unexpected<base::Error> Fail(const beast::error_code &error,
                                    const char *action) {
-    m_failed = true;
+    m_failed = m_failed || error != beast::error::timeout;
     return tl::unexpected(MakeIoError(error, action, m_endpoint));
   }
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -46,19 +46,23 @@
 
   /**
    * Waits for status and headers; the body of the result is empty.
-   * @return kTimeout after the deadline, kIo or kProtocol for other errors
+   * @return kTimeout after the deadline, after which another read may follow;
+   *         kIo or kProtocol for other errors
    */
   virtual base::Result<HttpResponse> ReadHead(base::TimePoint deadline) = 0;
 
   /**
    * Waits for the next part of the body and appends it.
    * @param[out] data receives the bytes that have arrived
-   * @return false at the end of the body
+   * @return false at the end of the body; errors as for ReadHead
    * @pre ReadHead succeeded
    */
   virtual base::Result<bool> ReadSome(std::string *data,
                                       base::TimePoint deadline) = 0;
 
+  /** @return whether bytes of the response have arrived that weren't read. */
+  virtual bool HasInput() = 0;
+
   /** @return how much of the request left this process. */
   virtual SendState GetSendState() const = 0;
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -140,6 +140,13 @@
   *table.add_routes() = MakeRoute("/safe/", gen::ROUTE_IDEMPOTENT, false, 2);
   *table.add_routes() = MakeRoute("/flow/", gen::ROUTE_STREAM, true, 2);
   *table.add_routes() = MakeRoute("/once-flow/", gen::ROUTE_STREAM, false, 1);
+  for (auto kind : {gen::ROUTE_STREAM, gen::ROUTE_IDEMPOTENT}) {
+    bool is_stream = kind == gen::ROUTE_STREAM;
+    gen::Route *route = table.add_routes();
+    *route = MakeRoute(is_stream ? "/long-flow/" : "/long-safe/", kind,
+                       is_stream, 2);
+    route->set_timeout_ms(8'000);
+  }
   gen::RoutedService *engines = table.add_services();
   engines->set_name("engines");
   engines->mutable_engine()->add_models()->set_name("m1");
