Log a key by which a request that comes again is recognized

Cause: attempt_failed named request IDs and prompt parts, none of which tells that the same request came again under another ID, so the hypotheses on requests that crash runners couldn't be told apart.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -105,6 +105,7 @@
             {"head_sent", scope->m_is_head_sent},
             {"events", scope->m_attempt.m_event_count},
             {"parts", FormatKeys(scope->m_part_keys)},
+            {"request_key", fmt::format("{:x}", scope->m_request_key)},
             {"took_ms", base::ToMilliseconds(base::Clock::now() -
                                              scope->m_attempt.m_sent_at)}});
 }
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -61,6 +61,7 @@
   std::vector<std::uint64_t> m_prefix_keys;
   /** Of the prompt parts that other requests may share, in order. */
   std::vector<std::uint64_t> m_part_keys;
+  std::uint64_t m_request_key = 0;  ///< the same if the request comes again
   std::uint64_t m_request_hash = 0;
   base::TimePoint m_started_at;
   base::TimePoint m_deadline;
--- a/src/gateway/protocol_type.h
+++ b/src/gateway/protocol_type.h
@@ -24,6 +24,7 @@
 struct RequestMetadata {
   std::string m_id;
   std::string m_host;
+  std::string m_caller;   ///< its credential, "" if it sent none
   std::string m_model;    ///< "" if it needs none
   std::string m_adapter;  ///< "" if it needs none
   std::uint32_t m_prompt_tokens = 0;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -7,6 +7,7 @@
 #include "base/log_func.h"
 #include "base/metrics_func.h"
 #include "gateway/attempt_internal.h"
+#include "gateway/request_key_func.h"
 #include "net/fiber_scheduler.h"
 
 namespace wasabiwind::gateway {
@@ -174,6 +175,7 @@
       *m_routes, routes::ChooseService(*scope->m_route, scope->m_request_hash));
   scope->m_prefix_keys = MakePrefixKeys(scope->m_metadata);
   scope->m_part_keys = MakePartKeys(scope->m_metadata);
+  scope->m_request_key = MakeRequestKey(*scope->m_request, scope->m_metadata);
   base::milliseconds timeout(scope->m_route->timeout_ms());
   base::milliseconds caller_timeout =
       scope->m_metadata.m_caller_timeout.value_or(kDefaultCallerTimeout);
