Rename the messages of the quarantine, which will hold requests too

Change: names only: Quarantine with items and keys, LostRequest, CrashEvidence, and the refusal reason "quarantined".

--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -98,7 +98,7 @@
   base::Duration m_outdated_time{0};
   int m_routes_request_count = 0;
   /** Newer than the current one. */
-  std::optional<gen::PromptQuarantine> m_quarantine;
+  std::optional<gen::Quarantine> m_quarantine;
 };
 
 /**
--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -14,16 +14,16 @@
 constexpr std::size_t kMaxSuspectsPerCrash = 512;
 constexpr std::size_t kMaxSoundParts = 65'536;
 
-const gen::QuarantinedPart *FindPart(const gen::PromptQuarantine &quarantine,
-                                     std::uint64_t part) {
-  for (const gen::QuarantinedPart &item : quarantine.parts()) {
-    if (item.part() == part) return &item;
+const gen::QuarantineItem *FindPart(const gen::Quarantine &quarantine,
+                                    std::uint64_t part) {
+  for (const gen::QuarantineItem &item : quarantine.items()) {
+    if (item.key() == part) return &item;
   }
   return nullptr;
 }
 
-void RecordLostPrompt(QuarantinePlanner *planner, const gen::LostPrompt &lost,
-                      base::TimePoint now) {
+void RecordLostRequest(QuarantinePlanner *planner, const gen::LostRequest &lost,
+                       base::TimePoint now) {
   auto key = std::make_pair(lost.upstream(), lost.born_ms());
   bool is_new = !planner->m_crashes.contains(key);
   if (is_new && planner->m_crashes.size() >= kMaxCrashes) return;
@@ -38,7 +38,7 @@
 }
 
 void ForgetOldEvidence(QuarantinePlanner *planner, base::TimePoint now) {
-  base::TimePoint oldest = now - kPromptEvidenceTime;
+  base::TimePoint oldest = now - kCrashEvidenceTime;
   std::erase_if(planner->m_crashes, [oldest](const auto &item) {
     return item.second.m_at < oldest;
   });
@@ -48,14 +48,14 @@
 
 /** Keeps the times of parts that are quarantined, and of no others. */
 void RefreshQuarantineTimes(QuarantinePlanner *planner,
-                            const gen::PromptQuarantine &current,
+                            const gen::Quarantine &current,
                             base::TimePoint now) {
   std::erase_if(planner->m_quarantined_at, [&current](const auto &item) {
     return !IsQuarantined(current, item.first);
   });
-  for (const gen::QuarantinedPart &item : current.parts()) {
+  for (const gen::QuarantineItem &item : current.items()) {
     if (!item.is_released()) {
-      planner->m_quarantined_at.try_emplace(item.part(), now);
+      planner->m_quarantined_at.try_emplace(item.key(), now);
     }
   }
 }
@@ -79,8 +79,7 @@
 };
 
 /** @return whether a crash is explained by a part that is quarantined. */
-bool IsExplained(const RunnerCrash &crash,
-                 const gen::PromptQuarantine &current) {
+bool IsExplained(const RunnerCrash &crash, const gen::Quarantine &current) {
   return std::any_of(crash.m_suspects.begin(), crash.m_suspects.end(),
                      [&current](const auto &item) {
                        return IsQuarantined(current, item.first);
@@ -88,7 +87,7 @@
 }
 
 std::map<std::uint64_t, Suspicion> CountSuspicions(
-    const QuarantinePlanner &planner, const gen::PromptQuarantine &current) {
+    const QuarantinePlanner &planner, const gen::Quarantine &current) {
   std::vector<const RunnerCrash *> crashes;
   for (const auto &[key, crash] : planner.m_crashes) {
     if (!IsExplained(crash, current)) crashes.push_back(&crash);
@@ -119,11 +118,11 @@
  *         stands last in its prompts, since prompts share their first parts
  */
 std::optional<std::uint64_t> FindPartToQuarantine(
-    const QuarantinePlanner &planner, const gen::PromptQuarantine &current) {
+    const QuarantinePlanner &planner, const gen::Quarantine &current) {
   std::optional<std::uint64_t> worst;
   std::tuple<int, std::size_t> highest;
   for (const auto &[part, suspicion] : CountSuspicions(planner, current)) {
-    const gen::QuarantinedPart *known = FindPart(current, part);
+    const gen::QuarantineItem *known = FindPart(current, part);
     bool was_released = known != nullptr && known->is_released();
     int needed = was_released ? 1 : kCrashesToQuarantine;
     if (suspicion.m_crash_count < needed) continue;
@@ -137,28 +136,28 @@
 
 gen::QuarantineChange MakeChange(std::uint64_t part, bool is_release) {
   gen::QuarantineChange change;
-  change.set_part(part);
+  change.set_key(part);
   change.set_is_release(is_release);
   return change;
 }
 
 }  // namespace
 
-void RecordPromptEvidence(QuarantinePlanner *planner,
-                          const gen::UseReport &report, base::TimePoint now) {
+void RecordCrashEvidence(QuarantinePlanner *planner,
+                         const gen::UseReport &report, base::TimePoint now) {
   if (!planner->m_first_report_at) planner->m_first_report_at = now;
   for (std::uint64_t part : report.sound_parts()) {
     bool is_known = planner->m_sound_at.contains(part);
     if (!is_known && planner->m_sound_at.size() >= kMaxSoundParts) continue;
     planner->m_sound_at[part] = now;
   }
-  for (const gen::LostPrompt &lost : report.lost_prompts()) {
-    RecordLostPrompt(planner, lost, now);
+  for (const gen::LostRequest &lost : report.lost_requests()) {
+    RecordLostRequest(planner, lost, now);
   }
 }
 
 std::optional<gen::QuarantineChange> PlanQuarantineChange(
-    QuarantinePlanner *planner, const gen::PromptQuarantine &current,
+    QuarantinePlanner *planner, const gen::Quarantine &current,
     base::TimePoint now) {
   ForgetOldEvidence(planner, now);
   RefreshQuarantineTimes(planner, current, now);
@@ -175,23 +174,22 @@
 }
 
 void ApplyQuarantineChange(const gen::QuarantineChange &change,
-                           gen::PromptQuarantine *quarantine) {
-  auto *parts = quarantine->mutable_parts();
-  auto is_changed = [&change](const gen::QuarantinedPart &item) {
-    return item.part() == change.part();
+                           gen::Quarantine *quarantine) {
+  auto *parts = quarantine->mutable_items();
+  auto is_changed = [&change](const gen::QuarantineItem &item) {
+    return item.key() == change.key();
   };
   parts->erase(std::remove_if(parts->begin(), parts->end(), is_changed),
                parts->end());
   while (parts->size() >= kMaxQuarantinedParts) parts->erase(parts->begin());
-  gen::QuarantinedPart *item = parts->Add();
-  item->set_part(change.part());
+  gen::QuarantineItem *item = parts->Add();
+  item->set_key(change.key());
   item->set_is_released(change.is_release());
   quarantine->set_version(quarantine->version() + 1);
 }
 
-bool IsQuarantined(const gen::PromptQuarantine &quarantine,
-                   std::uint64_t part) {
-  const gen::QuarantinedPart *item = FindPart(quarantine, part);
+bool IsQuarantined(const gen::Quarantine &quarantine, std::uint64_t part) {
+  const gen::QuarantineItem *item = FindPart(quarantine, part);
   return item != nullptr && !item->is_released();
 }
 
--- a/src/fleet/quarantine_func.h
+++ b/src/fleet/quarantine_func.h
@@ -41,7 +41,7 @@
 /** Crashes in which a part must be suspect; one is enough after a release. */
 inline constexpr int kCrashesToQuarantine = 3;
 /** Crashes and answers are forgotten after this time. */
-inline constexpr base::milliseconds kPromptEvidenceTime{60'000};
+inline constexpr base::milliseconds kCrashEvidenceTime{60'000};
 /** Crashes within this time count once: a lost host or failure domain ends
  * several runners at the same time. */
 inline constexpr base::milliseconds kCommonCauseTime{200};
@@ -54,24 +54,24 @@
 
 /** Adds the evidence in an entry host's report; repeated evidence counts once.
  */
-void RecordPromptEvidence(QuarantinePlanner *planner,
-                          const gen::UseReport &report, base::TimePoint now);
+void RecordCrashEvidence(QuarantinePlanner *planner,
+                         const gen::UseReport &report, base::TimePoint now);
 
 /**
  * Drops old evidence, then decides on one change.
  * @param current the quarantine in force
  */
 std::optional<gen::QuarantineChange> PlanQuarantineChange(
-    QuarantinePlanner *planner, const gen::PromptQuarantine &current,
+    QuarantinePlanner *planner, const gen::Quarantine &current,
     base::TimePoint now);
 
 /** Changes a quarantine; the least recently changed part is dropped beyond
  * kMaxQuarantinedParts. Deterministic: executed by each replica. */
 void ApplyQuarantineChange(const gen::QuarantineChange &change,
-                           gen::PromptQuarantine *quarantine);
+                           gen::Quarantine *quarantine);
 
 /** @return whether requests with a part are refused. */
-bool IsQuarantined(const gen::PromptQuarantine &quarantine, std::uint64_t part);
+bool IsQuarantined(const gen::Quarantine &quarantine, std::uint64_t part);
 
 }  // namespace wasabiwind::fleet
 
--- a/src/fleet/use_sum.cpp
+++ b/src/fleet/use_sum.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxLostPrompts = 512;
+constexpr std::size_t kMaxLostRequests = 512;
 constexpr std::size_t kMaxSoundParts = 8'192;
 
 void AddTargetUse(TargetUseSum *sum, const gen::TargetUse &use,
@@ -74,9 +74,9 @@
     sum->m_unreachable.insert(report.unreachable().begin(),
                               report.unreachable().end());
   }
-  for (const gen::LostPrompt &lost : report.lost_prompts()) {
-    if (sum->m_lost_prompts.size() >= kMaxLostPrompts) break;
-    sum->m_lost_prompts.insert(lost.SerializeAsString());
+  for (const gen::LostRequest &lost : report.lost_requests()) {
+    if (sum->m_lost_requests.size() >= kMaxLostRequests) break;
+    sum->m_lost_requests.insert(lost.SerializeAsString());
   }
   for (std::uint64_t part : report.sound_parts()) {
     if (sum->m_sound_parts.size() >= kMaxSoundParts) break;
@@ -96,16 +96,16 @@
   for (const std::string &upstream : sum->m_unreachable) {
     report.add_unreachable(upstream);
   }
-  for (const std::string &lost : sum->m_lost_prompts) {
-    (void)report.add_lost_prompts()->ParseFromString(lost);
+  for (const std::string &lost : sum->m_lost_requests) {
+    (void)report.add_lost_requests()->ParseFromString(lost);
   }
   for (std::uint64_t part : sum->m_sound_parts) report.add_sound_parts(part);
   sum->m_unreachable.clear();
-  sum->m_lost_prompts.clear();
+  sum->m_lost_requests.clear();
   sum->m_sound_parts.clear();
   sum->m_has_new_waiting = false;
   bool is_empty = report.uses_size() == 0 && report.unreachable_size() == 0 &&
-                  report.lost_prompts_size() == 0 &&
+                  report.lost_requests_size() == 0 &&
                   report.sound_parts_size() == 0;
   if (is_empty) return std::nullopt;
   return report;
--- a/src/fleet/use_sum_func.h
+++ b/src/fleet/use_sum_func.h
@@ -28,7 +28,7 @@
   std::map<TargetKey, TargetUseSum> m_targets;
   std::set<std::string> m_unreachable;
   /** Serialized lost prompts; hosts report each for some seconds. */
-  std::set<std::string> m_lost_prompts;
+  std::set<std::string> m_lost_requests;
   std::set<std::uint64_t> m_sound_parts;
   bool m_has_new_waiting = false;  ///< since the last sum
 };
--- a/src/fleet_control/quarantine_controller.cpp
+++ b/src/fleet_control/quarantine_controller.cpp
@@ -20,7 +20,7 @@
 
 void QuarantineController::HandleUseReport(const gen::UseReport &report,
                                            base::TimePoint now) {
-  fleet::RecordPromptEvidence(&m_planner, report, now);
+  fleet::RecordCrashEvidence(&m_planner, report, now);
 }
 
 void QuarantineController::Decide(base::TimePoint now) {
@@ -33,7 +33,7 @@
   *command.mutable_quarantine_change() = *change;
   base::Result<void> done = m_hooks.m_execute(command, now + kCommandTimeout);
   LogEvent(LogLevel::kWarn, "quarantine_changed",
-           {{"part", fmt::format("{:x}", change->part())},
+           {{"part", fmt::format("{:x}", change->key())},
             {"is_release", change->is_release()},
             {"known_crashes", m_planner.m_crashes.size()},
             {"error", done ? "" : done.error().ToString()}});
--- a/src/fleet_control/quarantine_controller.h
+++ b/src/fleet_control/quarantine_controller.h
@@ -23,7 +23,7 @@
   struct Hooks {
     /** @return whether this host is the leader now. */
     std::function<bool(base::TimePoint)> m_is_leader;
-    std::function<const gen::PromptQuarantine &()> m_get_quarantine;
+    std::function<const gen::Quarantine &()> m_get_quarantine;
     /** Executes a command through the replicated log. */
     std::function<base::Result<void>(const gen::RouteCommand &,
                                      base::TimePoint deadline)>
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -195,7 +195,7 @@
   hooks.m_is_leader = [this](base::TimePoint now) {
     return m_group->HoldsLease(now);
   };
-  hooks.m_get_quarantine = [this]() -> const gen::PromptQuarantine & {
+  hooks.m_get_quarantine = [this]() -> const gen::Quarantine & {
     return m_route_state.GetStored().quarantine();
   };
   hooks.m_execute = [this](const gen::RouteCommand &command,
@@ -362,7 +362,7 @@
   fleet::AddUseReport(&m_use_sum, report,
                       m_exchange->GetView().m_upstreams.size(), now);
   bool is_urgent =
-      m_use_sum.m_has_new_waiting || !m_use_sum.m_lost_prompts.empty();
+      m_use_sum.m_has_new_waiting || !m_use_sum.m_lost_requests.empty();
   if (is_urgent && now >= m_use_sum_sent_at + kMinUseSumPause) SendUseSum(now);
 }
 
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -93,7 +93,7 @@
   run();
   UpstreamStats &stats = m_stats[scope->m_upstream];
   stats.m_in_flight = std::max(0, stats.m_in_flight - 1);
-  RecordPromptOutcome(*scope);
+  RecordOutcome(*scope);
   bool is_silent = scope->m_attempt_end == AttemptEnd::kSilent;
   if (!is_silent) scope->m_attempt.m_call.reset();
   if (scope->m_attempt_end == AttemptEnd::kAnswered) return;
@@ -132,20 +132,20 @@
 }
 
 /** Records whether an attempt clears its prompt or makes it suspect. */
-void Gateway::RecordPromptOutcome(const RequestScope &scope) {
+void Gateway::RecordOutcome(const RequestScope &scope) {
   if (scope.m_part_keys.empty()) return;
   bool is_answered =
       scope.m_attempt_end == AttemptEnd::kAnswered && IsSuccess(scope.m_status);
   if (is_answered || scope.m_attempt.m_event_count >= kSoundEventCount) {
-    RecordSoundPrompt(&m_prompt_evidence, scope.m_part_keys);
+    RecordSoundPrompt(&m_crash_evidence, scope.m_part_keys);
     return;
   }
   if (!scope.m_attempt.m_is_connection_lost) return;
-  gen::LostPrompt prompt;
+  gen::LostRequest prompt;
   prompt.set_upstream(scope.m_upstream);
   prompt.set_born_ms(scope.m_attempt.m_runner_start_ms);
   for (std::uint64_t part : scope.m_part_keys) prompt.add_parts(part);
-  RecordLostPrompt(&m_prompt_evidence, std::move(prompt), base::Clock::now());
+  RecordLostRequest(&m_crash_evidence, std::move(prompt), base::Clock::now());
   m_is_use_report_urgent = true;
 }
 
--- a/src/gateway/prompt_evidence.cpp
+++ b/src/gateway/crash_evidence.cpp
@@ -1,9 +1,9 @@
-/** @file prompt_evidence.cpp Which prompts were answered, and which were lost
+/** @file crash_evidence.cpp Which prompts were answered, and which were lost
  * with their runner. */
 
 #include <utility>
 
-#include "gateway/prompt_evidence_func.h"
+#include "gateway/crash_evidence_func.h"
 
 namespace wasabiwind::gateway {
 
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void RecordSoundPrompt(PromptEvidence *evidence,
+void RecordSoundPrompt(CrashEvidence *evidence,
                        const std::vector<std::uint64_t> &parts) {
   for (std::uint64_t part : parts) {
     if (evidence->m_sound_parts.size() >= kMaxSoundParts) return;
@@ -24,20 +24,20 @@
   }
 }
 
-void RecordLostPrompt(PromptEvidence *evidence, gen::LostPrompt prompt,
-                      base::TimePoint now) {
+void RecordLostRequest(CrashEvidence *evidence, gen::LostRequest prompt,
+                       base::TimePoint now) {
   if (evidence->m_losses.size() >= kMaxLosses) evidence->m_losses.pop_front();
   evidence->m_losses.push_back({now, std::move(prompt)});
 }
 
-void FillPromptEvidence(PromptEvidence *evidence, gen::UseReport *report,
-                        base::TimePoint now) {
+void FillCrashEvidence(CrashEvidence *evidence, gen::UseReport *report,
+                       base::TimePoint now) {
   while (!evidence->m_losses.empty() &&
          now >= evidence->m_losses.front().m_at + kLossReportTime) {
     evidence->m_losses.pop_front();
   }
-  for (const PromptEvidence::Loss &loss : evidence->m_losses) {
-    *report->add_lost_prompts() = loss.m_prompt;
+  for (const CrashEvidence::Loss &loss : evidence->m_losses) {
+    *report->add_lost_requests() = loss.m_prompt;
   }
   for (std::uint64_t part : evidence->m_sound_parts) {
     report->add_sound_parts(part);
--- a/src/gateway/prompt_evidence_func.h
+++ b/src/gateway/crash_evidence_func.h
@@ -1,8 +1,8 @@
-/** @file prompt_evidence_func.h Which prompts were answered, and which were
+/** @file crash_evidence_func.h Which prompts were answered, and which were
  * lost with their runner. */
 
-#ifndef WASABIWIND_GATEWAY_PROMPT_EVIDENCE_FUNC_H_
-#define WASABIWIND_GATEWAY_PROMPT_EVIDENCE_FUNC_H_
+#ifndef WASABIWIND_GATEWAY_CRASH_EVIDENCE_FUNC_H_
+#define WASABIWIND_GATEWAY_CRASH_EVIDENCE_FUNC_H_
 
 #include <absl/container/flat_hash_set.h>
 #include <fleet.pb.h>
@@ -15,10 +15,10 @@
 namespace wasabiwind::gateway {
 
 /** Evidence of one entry host for the quarantine. Not thread-safe. */
-struct PromptEvidence {
+struct CrashEvidence {
   struct Loss {
     base::TimePoint m_at;
-    gen::LostPrompt m_prompt;
+    gen::LostRequest m_prompt;
   };
   std::deque<Loss> m_losses;                         ///< oldest first
   absl::flat_hash_set<std::uint64_t> m_sound_parts;  ///< not reported yet
@@ -28,18 +28,18 @@
  * may crash while it writes the first one. */
 inline constexpr int kSoundEventCount = 2;
 
-void RecordSoundPrompt(PromptEvidence *evidence,
+void RecordSoundPrompt(CrashEvidence *evidence,
                        const std::vector<std::uint64_t> &parts);
 
 /** Records a request whose connection ended before kSoundEventCount events. */
-void RecordLostPrompt(PromptEvidence *evidence, gen::LostPrompt prompt,
-                      base::TimePoint now);
+void RecordLostRequest(CrashEvidence *evidence, gen::LostRequest prompt,
+                       base::TimePoint now);
 
 /** Adds the evidence to a report. Losses are reported again for some seconds,
  * since reports can be lost. */
-void FillPromptEvidence(PromptEvidence *evidence, gen::UseReport *report,
-                        base::TimePoint now);
+void FillCrashEvidence(CrashEvidence *evidence, gen::UseReport *report,
+                       base::TimePoint now);
 
 }  // namespace wasabiwind::gateway
 
-#endif  // WASABIWIND_GATEWAY_PROMPT_EVIDENCE_FUNC_H_
+#endif  // WASABIWIND_GATEWAY_CRASH_EVIDENCE_FUNC_H_
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -144,10 +144,10 @@
   SendAll(fleet::AnnounceToFollowed(&m_follower, base::Clock::now()));
 }
 
-void Gateway::AdoptQuarantine(const gen::PromptQuarantine &quarantine) {
+void Gateway::AdoptQuarantine(const gen::Quarantine &quarantine) {
   m_quarantined_parts.clear();
-  for (const gen::QuarantinedPart &item : quarantine.parts()) {
-    if (!item.is_released()) m_quarantined_parts.insert(item.part());
+  for (const gen::QuarantineItem &item : quarantine.items()) {
+    if (!item.is_released()) m_quarantined_parts.insert(item.key());
   }
   LogEvent(LogLevel::kWarn, "quarantine_in_force",
            {{"version", quarantine.version()},
@@ -156,7 +156,7 @@
   m_view_changed.notify_all();
 }
 
-bool Gateway::IsPromptQuarantined(const RequestScope &scope) const {
+bool Gateway::IsQuarantined(const RequestScope &scope) const {
   return std::any_of(scope.m_part_keys.begin(), scope.m_part_keys.end(),
                      [this](std::uint64_t part) {
                        return m_quarantined_parts.contains(part);
@@ -169,7 +169,7 @@
     const Attempt &attempt = scope->m_attempt;
     bool is_waiting_for_event =
         attempt.m_call != nullptr && attempt.m_event_count < kSoundEventCount;
-    if (!is_waiting_for_event || !IsPromptQuarantined(*scope)) continue;
+    if (!is_waiting_for_event || !IsQuarantined(*scope)) continue;
     scope->m_cancel_reason = kQuarantineReason;
     attempt.m_call->Cancel();
   }
@@ -273,10 +273,10 @@
   gen::FleetMessage message;
   gen::UseReport *report = message.mutable_use();
   AddUpstreamsInUse(report, now);
-  FillPromptEvidence(&m_prompt_evidence, report, now);
+  FillCrashEvidence(&m_crash_evidence, report, now);
   bool is_empty =
       m_use_counts.m_targets.empty() && report->unreachable_size() == 0 &&
-      report->lost_prompts_size() == 0 && report->sound_parts_size() == 0;
+      report->lost_requests_size() == 0 && report->sound_parts_size() == 0;
   if (is_empty) return;
   m_is_use_report_urgent = false;
   m_use_report_sent_at = now;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,8 +14,8 @@
 
 #include "fleet/follower_func.h"
 #include "gateway/choose_func.h"
+#include "gateway/crash_evidence_func.h"
 #include "gateway/directory_func.h"
-#include "gateway/prompt_evidence_func.h"
 #include "gateway/protocol_type.h"
 #include "gateway/runner_load_func.h"
 #include "gateway/use_func.h"
@@ -118,7 +118,7 @@
   bool LeaveSilentUpstream(RequestScope *scope, const char *reason);
   void RecordLeavingOrPause(const std::string &upstream, std::uint64_t start_ms,
                             const ResponseMetadata &metadata);
-  void RecordPromptOutcome(const RequestScope &scope);
+  void RecordOutcome(const RequestScope &scope);
 
   // relay.cpp
   void RelayStream(RequestScope *scope);
@@ -138,8 +138,8 @@
   void LogPublisherChange();
   void AdoptRoutes(const std::string &publisher,
                    fleet::FactUpdateResult *result);
-  void AdoptQuarantine(const gen::PromptQuarantine &quarantine);
-  bool IsPromptQuarantined(const RequestScope &scope) const;
+  void AdoptQuarantine(const gen::Quarantine &quarantine);
+  bool IsQuarantined(const RequestScope &scope) const;
   void CancelQuarantinedRequests();
   void CancelAbandonedRequests();
   void ResumeAwakenedAttempts();
@@ -161,7 +161,7 @@
   routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
   StatsById m_stats;
   UseCounts m_use_counts;
-  PromptEvidence m_prompt_evidence;
+  CrashEvidence m_crash_evidence;
   absl::flat_hash_set<std::uint64_t> m_quarantined_parts;
   RunnerLoads m_runner_loads;  ///< of the runners that this host tracks
   std::map<std::uint64_t, PendingLoadQuery *> m_load_queries;  ///< by number
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -10,7 +10,7 @@
 namespace wasabiwind::gateway {
 
 /** Reason of refusals because of a quarantined part of the prompt. */
-inline constexpr const char *kQuarantineReason = "prompt_quarantined";
+inline constexpr const char *kQuarantineReason = "quarantined";
 
 /** Reason of answers to requests that a stop of this host cuts short. */
 inline constexpr const char *kStoppingReason = "stopping";
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -54,7 +54,7 @@
   bool was_sound = attempt.m_event_count >= kSoundEventCount;
   attempt.m_event_count += static_cast<int>(events.size());
   if (!was_sound && attempt.m_event_count >= kSoundEventCount) {
-    RecordSoundPrompt(&m_prompt_evidence, scope->m_part_keys);
+    RecordSoundPrompt(&m_crash_evidence, scope->m_part_keys);
   }
   std::string text;
   std::optional<std::uint64_t> last = scope->m_last_event_id;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -278,7 +278,7 @@
   const char *reason = nullptr;
   if (GetRemaining(*scope, now) < kMinSendTime) {
     reason = "timeout";
-  } else if (IsPromptQuarantined(*scope)) {
+  } else if (IsQuarantined(*scope)) {
     reason = kQuarantineReason;
   } else if (m_is_ending_requests) {
     reason = kStoppingReason;
@@ -341,7 +341,7 @@
       ++scope->m_possible_run_count;
       break;
   }
-  if (IsPromptQuarantined(*scope) || m_is_ending_requests) return false;
+  if (IsQuarantined(*scope) || m_is_ending_requests) return false;
   scope->m_excluded.insert(scope->m_upstream);
   if (scope->m_silent_attempt) return false;
   if (MayRetry(scope, scope->m_reason.c_str())) return false;
--- a/tests/fleet_control_route_state_machine_test.cpp
+++ b/tests/fleet_control_route_state_machine_test.cpp
@@ -18,7 +18,7 @@
 
 std::string MakeQuarantineChange(std::uint64_t part) {
   gen::RouteCommand command;
-  command.mutable_quarantine_change()->set_part(part);
+  command.mutable_quarantine_change()->set_key(part);
   return command.SerializeAsString();
 }
 
--- a/tests/fleet_quarantine_test.cpp
+++ b/tests/fleet_quarantine_test.cpp
@@ -20,7 +20,7 @@
 class QuarantineTest : public testing::Test {
  protected:
   QuarantineTest() {
-    RecordPromptEvidence(&m_planner, gen::UseReport(), m_now);
+    RecordCrashEvidence(&m_planner, gen::UseReport(), m_now);
     m_now += kMinEvidenceTime;
   }
 
@@ -29,19 +29,19 @@
              milliseconds pause = seconds(1)) {
     m_now += pause;
     gen::UseReport report;
-    gen::LostPrompt *lost = report.add_lost_prompts();
+    gen::LostRequest *lost = report.add_lost_requests();
     lost->set_upstream("i-" + std::to_string(++m_crash_count));
     lost->set_born_ms(5);
     for (std::uint64_t part : parts) lost->add_parts(part);
     // Entry hosts repeat what they report.
-    for (int i = 0; i < 3; ++i) RecordPromptEvidence(&m_planner, report, m_now);
+    for (int i = 0; i < 3; ++i) RecordCrashEvidence(&m_planner, report, m_now);
     Decide();
   }
 
   void Answer(const std::vector<std::uint64_t> &parts) {
     gen::UseReport report;
     for (std::uint64_t part : parts) report.add_sound_parts(part);
-    RecordPromptEvidence(&m_planner, report, m_now);
+    RecordCrashEvidence(&m_planner, report, m_now);
     Decide();
   }
 
@@ -52,7 +52,7 @@
   }
 
   QuarantinePlanner m_planner;
-  gen::PromptQuarantine m_current;
+  gen::Quarantine m_current;
   base::TimePoint m_now{seconds(1'000)};
   int m_crash_count = 0;
 };
@@ -138,10 +138,10 @@
 TEST_F(QuarantineTest, NumberOfPartsIsBounded) {
   for (int i = 1; i <= 2 * kMaxQuarantinedParts; ++i) {
     gen::QuarantineChange change;
-    change.set_part(static_cast<std::uint64_t>(i));
+    change.set_key(static_cast<std::uint64_t>(i));
     ApplyQuarantineChange(change, &m_current);
   }
-  EXPECT_EQ(m_current.parts_size(), kMaxQuarantinedParts);
+  EXPECT_EQ(m_current.items_size(), kMaxQuarantinedParts);
   EXPECT_FALSE(IsQuarantined(m_current, 1));
   EXPECT_TRUE(IsQuarantined(m_current, 2 * kMaxQuarantinedParts));
 }
--- a/tests/fleet_use_sum_test.cpp
+++ b/tests/fleet_use_sum_test.cpp
@@ -94,7 +94,7 @@
   for (int host = 0; host < 3; ++host) {
     gen::UseReport report;
     report.set_entry("e" + std::to_string(host));
-    gen::LostPrompt *lost = report.add_lost_prompts();
+    gen::LostRequest *lost = report.add_lost_requests();
     lost->set_upstream("i-" + std::to_string(host));
     lost->add_parts(7);
     report.add_sound_parts(static_cast<std::uint64_t>(10 + host));
@@ -103,8 +103,8 @@
   }
   std::optional<gen::UseReport> report = TakeUseSum(&sum, At(20));
   ASSERT_TRUE(report);
-  EXPECT_EQ(report->lost_prompts_size(), 3);
-  EXPECT_EQ(report->lost_prompts(0).parts_size(), 1);
+  EXPECT_EQ(report->lost_requests_size(), 3);
+  EXPECT_EQ(report->lost_requests(0).parts_size(), 1);
   EXPECT_EQ(report->sound_parts_size(), 3);
 }
 
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -251,7 +251,7 @@
     update->set_publisher_epoch(1);
     update->mutable_quarantine()->set_version(++m_quarantine_version);
     for (std::uint64_t part : parts) {
-      update->mutable_quarantine()->add_parts()->set_part(part);
+      update->mutable_quarantine()->add_items()->set_key(part);
     }
     m_gateway.HandleMessage(kPublisher, message);
   }
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -222,8 +222,8 @@
             net::SleepFor(milliseconds(200));
             ASSERT_FALSE(harness->m_use_reports.empty());
             const gen::UseReport &report = harness->m_use_reports.back();
-            ASSERT_EQ(report.lost_prompts_size(), 1);
-            const gen::LostPrompt &lost = report.lost_prompts(0);
+            ASSERT_EQ(report.lost_requests_size(), 1);
+            const gen::LostRequest &lost = report.lost_requests(0);
             EXPECT_EQ(lost.upstream(), "i-0");
             EXPECT_EQ(lost.born_ms(), 5u);
             std::vector<std::uint64_t> parts(lost.parts().begin(),
@@ -247,7 +247,7 @@
         net::SleepFor(milliseconds(600));
         std::set<std::uint64_t> sound;
         for (const gen::UseReport &report : harness->m_use_reports) {
-          EXPECT_EQ(report.lost_prompts_size(), 0);
+          EXPECT_EQ(report.lost_requests_size(), 0);
           sound.insert(report.sound_parts().begin(),
                        report.sound_parts().end());
         }
@@ -346,7 +346,7 @@
     net::SleepFor(milliseconds(200));
     EXPECT_TRUE(has_seen_disconnect);
     for (const gen::UseReport &report : harness->m_use_reports) {
-      EXPECT_EQ(report.lost_prompts_size(), 0);
+      EXPECT_EQ(report.lost_requests_size(), 0);
     }
   });
 }
