Quarantine requests that crash the runners that begin to run them

Cause: the quarantine knew parts of prompts only. A whole request has no part that names it, and requests of plain services have none at all, so nothing related the crashes to it.

Change: requests are a second kind of suspect, by their key. Entry hosts report requests that were lost with a runner, on all routes, once the runner is known to have ended; the leader quarantines a request after three lost arrivals, in the replicated log. An entry host that answered a quarantined request within the last minute says so, which clears it. Parts and requests are bounded separately, the oldest evidence makes room for new, and evidence is judged only when there is new one.

The test of released parts that were answered holds as it was.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -1,4 +1,6 @@
-/** @file quarantine.cpp Finds prompt parts that crash runners. */
+/** @file quarantine.cpp Finds what crashes runners. */
+
+#include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
 #include <tuple>
@@ -11,34 +13,84 @@
 namespace {
 
 constexpr std::size_t kMaxCrashes = 256;
-constexpr std::size_t kMaxSuspectsPerCrash = 512;
+/** For a runner's slots and queue, with several parts a prompt. */
+constexpr std::size_t kMaxPartsPerCrash = 512;
+constexpr std::size_t kMaxRequestsPerCrash = 256;
 constexpr std::size_t kMaxSoundParts = 65'536;
 
-const gen::QuarantineItem *FindPart(const gen::Quarantine &quarantine,
-                                    std::uint64_t part) {
+Suspect GetSuspect(const gen::QuarantineItem &item) {
+  return Suspect{item.kind(), item.key()};
+}
+
+const gen::QuarantineItem *FindItem(const gen::Quarantine &quarantine,
+                                    const Suspect &suspect) {
   for (const gen::QuarantineItem &item : quarantine.items()) {
-    if (item.key() == part) return &item;
+    if (GetSuspect(item) == suspect) return &item;
   }
   return nullptr;
 }
 
-void RecordLostRequest(QuarantinePlanner *planner, const gen::LostRequest &lost,
-                       base::TimePoint now) {
-  auto key = std::make_pair(lost.upstream(), lost.born_ms());
-  bool is_new = !planner->m_crashes.contains(key);
-  if (is_new && planner->m_crashes.size() >= kMaxCrashes) return;
-  RunnerCrash &crash = planner->m_crashes[key];
-  if (is_new) crash.m_at = now;
+/** @return whether that is new evidence */
+bool AddLostParts(RunnerCrash *crash, const gen::LostRequest &lost) {
+  bool is_new = false;
   std::size_t position = 0;
   for (std::uint64_t part : lost.parts()) {
-    if (crash.m_suspects.size() >= kMaxSuspectsPerCrash) return;
-    std::size_t &known = crash.m_suspects[part];
+    if (!crash->m_parts.contains(part)) {
+      if (crash->m_parts.size() >= kMaxPartsPerCrash) break;
+      is_new = true;
+    }
+    std::size_t &known = crash->m_parts[part];
     known = std::max(known, position++);
   }
+  return is_new;
+}
+
+/** @return whether that is new evidence */
+bool AddLostArrival(RunnerCrash *crash, const gen::LostRequest &lost) {
+  if (lost.request_key() == 0) return false;
+  bool is_known = crash->m_requests.contains(lost.request_key());
+  if (!is_known && crash->m_requests.size() >= kMaxRequestsPerCrash) {
+    return false;
+  }
+  auto &arrivals = crash->m_requests[lost.request_key()];
+  if (arrivals.size() >= kLossesToQuarantine) return false;
+  return arrivals.insert(lost.arrival()).second;
+}
+
+void ForgetOldestCrash(QuarantinePlanner *planner) {
+  planner->m_crashes.erase(
+      std::min_element(planner->m_crashes.begin(), planner->m_crashes.end(),
+                       [](const auto &a, const auto &b) {
+                         return a.second.m_at < b.second.m_at;
+                       }));
+}
+
+void RecordLostRequest(QuarantinePlanner *planner, const gen::LostRequest &lost,
+                       base::TimePoint now) {
+  auto runner = std::make_pair(lost.upstream(), lost.born_ms());
+  bool is_new = !planner->m_crashes.contains(runner);
+  if (is_new && planner->m_crashes.size() >= kMaxCrashes) {
+    ForgetOldestCrash(planner);
+  }
+  RunnerCrash &crash = planner->m_crashes[runner];
+  if (is_new) crash.m_at = now;
+  bool has_new_arrival = AddLostArrival(&crash, lost);
+  bool has_new_part = AddLostParts(&crash, lost);
+  if (has_new_arrival || has_new_part) planner->m_has_new_crashes = true;
+}
+
+/** Answered requests are reported only while they are quarantined. */
+void RecordSoundRequests(QuarantinePlanner *planner,
+                         const gen::UseReport &report, base::TimePoint now) {
+  for (std::uint64_t key : report.sound_requests()) {
+    Suspect request = MakeRequestSuspect(key);
+    if (!planner->m_quarantined_at.contains(request)) continue;
+    planner->m_sound_at[request] = now;
+  }
 }
 
 void ForgetOldEvidence(QuarantinePlanner *planner, base::TimePoint now) {
-  base::TimePoint oldest = now - kCrashEvidenceTime;
+  base::TimePoint oldest = now - kEvidenceTime;
   std::erase_if(planner->m_crashes, [oldest](const auto &item) {
     return item.second.m_at < oldest;
   });
@@ -46,7 +98,7 @@
                  [oldest](const auto &item) { return item.second < oldest; });
 }
 
-/** Keeps the times of parts that are quarantined, and of no others. */
+/** Keeps the times of items that are quarantined, and of no others. */
 void RefreshQuarantineTimes(QuarantinePlanner *planner,
                             const gen::Quarantine &current,
                             base::TimePoint now) {
@@ -55,90 +107,167 @@
   });
   for (const gen::QuarantineItem &item : current.items()) {
     if (!item.is_released()) {
-      planner->m_quarantined_at.try_emplace(item.key(), now);
+      planner->m_quarantined_at.try_emplace(GetSuspect(item), now);
     }
   }
 }
 
-/** @return a part whose time is over, or that was answered after all. */
-std::optional<std::uint64_t> FindPartToRelease(const QuarantinePlanner &planner,
-                                               base::TimePoint now) {
-  for (const auto &[part, since] : planner.m_quarantined_at) {
-    auto sound = planner.m_sound_at.find(part);
+gen::QuarantineChange MakeChange(const Suspect &suspect) {
+  gen::QuarantineChange change;
+  change.set_kind(suspect.m_kind);
+  change.set_key(suspect.m_key);
+  return change;
+}
+
+/** @return the release of an item whose time is over, or that was answered
+ * after all. */
+std::optional<gen::QuarantineChange> PlanRelease(
+    const QuarantinePlanner &planner, base::TimePoint now) {
+  for (const auto &[suspect, since] : planner.m_quarantined_at) {
+    auto sound = planner.m_sound_at.find(suspect);
     bool is_sound = sound != planner.m_sound_at.end() && sound->second > since;
-    if (is_sound || now >= since + kQuarantineTime) return part;
+    if (!is_sound && now < since + kQuarantineTime) continue;
+    gen::QuarantineChange change = MakeChange(suspect);
+    change.set_is_release(true);
+    change.set_is_cleared(is_sound);
+    return change;
   }
   return std::nullopt;
 }
 
-/** How much speaks against a part. */
+/** How much speaks against a suspect. */
 struct Suspicion {
-  int m_crash_count = 0;
+  int m_losses = 0;
   base::TimePoint m_counted_at;  ///< first crash of those that count once
   std::size_t m_position = 0;    ///< highest position in a suspect prompt
+  /** Quarantined requests that were in a crash with this part. */
+  std::set<std::uint64_t> m_quarantined_requests;
 };
 
-/** @return whether a crash is explained by a part that is quarantined. */
-bool IsExplained(const RunnerCrash &crash, const gen::Quarantine &current) {
-  return std::any_of(crash.m_suspects.begin(), crash.m_suspects.end(),
-                     [&current](const auto &item) {
-                       return IsQuarantined(current, item.first);
+using Suspicions = std::map<Suspect, Suspicion>;
+using SuspectSet = absl::flat_hash_set<Suspect>;
+
+SuspectSet ListQuarantined(const gen::Quarantine &quarantine) {
+  SuspectSet suspects;
+  for (const gen::QuarantineItem &item : quarantine.items()) {
+    if (!item.is_released()) suspects.insert(GetSuspect(item));
+  }
+  return suspects;
+}
+
+bool IsExplainedByPart(const RunnerCrash &crash,
+                       const SuspectSet &quarantined) {
+  return std::any_of(crash.m_parts.begin(), crash.m_parts.end(),
+                     [&quarantined](const auto &item) {
+                       return quarantined.contains(MakePartSuspect(item.first));
                      });
 }
 
-std::map<std::uint64_t, Suspicion> CountSuspicions(
-    const QuarantinePlanner &planner, const gen::Quarantine &current) {
+/** @return the key of a quarantined request that was in a crash. */
+std::optional<std::uint64_t> FindExplainingRequest(
+    const RunnerCrash &crash, const SuspectSet &quarantined) {
+  for (const auto &[key, arrivals] : crash.m_requests) {
+    if (quarantined.contains(MakeRequestSuspect(key))) return key;
+  }
+  return std::nullopt;
+}
+
+void CountPart(Suspicion *suspicion, base::TimePoint at) {
+  bool may_share_cause = suspicion->m_counted_at != base::TimePoint() &&
+                         at < suspicion->m_counted_at + kCommonCauseTime;
+  if (may_share_cause) return;
+  suspicion->m_counted_at = at;
+  ++suspicion->m_losses;
+}
+
+/**
+ * Counts what speaks against the parts in one crash, but for those that were
+ * answered. All crashes under one quarantined request count once: the request
+ * explains them, but if several requests had to be quarantined, a part that
+ * they share explains more.
+ */
+void CountParts(const QuarantinePlanner &planner, const RunnerCrash &crash,
+                std::optional<std::uint64_t> quarantined_request,
+                Suspicions *suspicions) {
+  for (const auto &[key, position] : crash.m_parts) {
+    Suspect part = MakePartSuspect(key);
+    if (planner.m_sound_at.contains(part)) continue;
+    Suspicion &suspicion = (*suspicions)[part];
+    suspicion.m_position = std::max(suspicion.m_position, position);
+    if (!quarantined_request) {
+      CountPart(&suspicion, crash.m_at);
+    } else if (suspicion.m_quarantined_requests.insert(*quarantined_request)
+                   .second) {
+      ++suspicion.m_losses;
+    }
+  }
+}
+
+void CountRequests(const QuarantinePlanner &planner, const RunnerCrash &crash,
+                   Suspicions *suspicions) {
+  for (const auto &[key, arrivals] : crash.m_requests) {
+    Suspect request = MakeRequestSuspect(key);
+    if (planner.m_sound_at.contains(request)) continue;
+    (*suspicions)[request].m_losses += static_cast<int>(arrivals.size());
+  }
+}
+
+Suspicions CountSuspicions(const QuarantinePlanner &planner,
+                           const gen::Quarantine &current) {
   std::vector<const RunnerCrash *> crashes;
-  for (const auto &[key, crash] : planner.m_crashes) {
-    if (!IsExplained(crash, current)) crashes.push_back(&crash);
+  SuspectSet quarantined = ListQuarantined(current);
+  for (const auto &[runner, crash] : planner.m_crashes) {
+    if (!IsExplainedByPart(crash, quarantined)) crashes.push_back(&crash);
   }
   std::sort(crashes.begin(), crashes.end(),
             [](const RunnerCrash *a, const RunnerCrash *b) {
               return a->m_at < b->m_at;
             });
-  std::map<std::uint64_t, Suspicion> suspicions;
+  Suspicions suspicions;
   for (const RunnerCrash *crash : crashes) {
-    for (const auto &[part, position] : crash->m_suspects) {
-      if (planner.m_sound_at.contains(part)) continue;
-      Suspicion &suspicion = suspicions[part];
-      suspicion.m_position = std::max(suspicion.m_position, position);
-      bool is_same_cause =
-          suspicion.m_crash_count != 0 &&
-          crash->m_at < suspicion.m_counted_at + kCommonCauseTime;
-      if (is_same_cause) continue;
-      suspicion.m_counted_at = crash->m_at;
-      ++suspicion.m_crash_count;
-    }
+    auto request = FindExplainingRequest(*crash, quarantined);
+    CountParts(planner, *crash, request, &suspicions);
+    if (!request) CountRequests(planner, *crash, &suspicions);
   }
   return suspicions;
 }
 
 /**
- * @return the part that explains most crashes; of equal ones the one that
- *         stands last in its prompts, since prompts share their first parts
+ * @return the suspect that explains most losses; of equal ones the most
+ *         specific one: a request, or the part that stands last in its prompts,
+ *         since prompts share their first parts
  */
-std::optional<std::uint64_t> FindPartToQuarantine(
-    const QuarantinePlanner &planner, const gen::Quarantine &current) {
-  std::optional<std::uint64_t> worst;
-  std::tuple<int, std::size_t> highest;
-  for (const auto &[part, suspicion] : CountSuspicions(planner, current)) {
-    const gen::QuarantineItem *known = FindPart(current, part);
+std::optional<Suspect> FindCause(const QuarantinePlanner &planner,
+                                 const gen::Quarantine &current,
+                                 bool may_be_part) {
+  std::optional<Suspect> cause;
+  std::tuple<int, bool, std::size_t> highest;
+  for (const auto &[suspect, suspicion] : CountSuspicions(planner, current)) {
+    bool is_request = suspect.m_kind == gen::SUSPECT_REQUEST;
+    if (!is_request && !may_be_part) continue;
+    const gen::QuarantineItem *known = FindItem(current, suspect);
     bool was_released = known != nullptr && known->is_released();
-    int needed = was_released ? 1 : kCrashesToQuarantine;
-    if (suspicion.m_crash_count < needed) continue;
-    auto rank = std::make_tuple(suspicion.m_crash_count, suspicion.m_position);
-    if (worst && rank <= highest) continue;
-    worst = part;
+    int needed = was_released ? 1 : kLossesToQuarantine;
+    if (suspicion.m_losses < needed) continue;
+    auto rank =
+        std::make_tuple(suspicion.m_losses, is_request, suspicion.m_position);
+    if (cause && rank <= highest) continue;
+    cause = suspect;
     highest = rank;
   }
-  return worst;
+  return cause;
 }
 
-gen::QuarantineChange MakeChange(std::uint64_t part, bool is_release) {
-  gen::QuarantineChange change;
-  change.set_key(part);
-  change.set_is_release(is_release);
-  return change;
+/** Drops the least recently changed items of a kind beyond a number. */
+void DropOldItems(gen::SuspectKind kind, int max_count,
+                  gen::Quarantine *quarantine) {
+  auto *items = quarantine->mutable_items();
+  auto is_of_kind = [kind](const gen::QuarantineItem &item) {
+    return item.kind() == kind;
+  };
+  while (std::count_if(items->begin(), items->end(), is_of_kind) > max_count) {
+    items->erase(std::find_if(items->begin(), items->end(), is_of_kind));
+  }
 }
 
 }  // namespace
@@ -146,11 +275,13 @@
 void RecordCrashEvidence(QuarantinePlanner *planner,
                          const gen::UseReport &report, base::TimePoint now) {
   if (!planner->m_first_report_at) planner->m_first_report_at = now;
-  for (std::uint64_t part : report.sound_parts()) {
+  for (std::uint64_t key : report.sound_parts()) {
+    Suspect part = MakePartSuspect(key);
     bool is_known = planner->m_sound_at.contains(part);
     if (!is_known && planner->m_sound_at.size() >= kMaxSoundParts) continue;
     planner->m_sound_at[part] = now;
   }
+  RecordSoundRequests(planner, report, now);
   for (const gen::LostRequest &lost : report.lost_requests()) {
     RecordLostRequest(planner, lost, now);
   }
@@ -161,35 +292,37 @@
     base::TimePoint now) {
   ForgetOldEvidence(planner, now);
   RefreshQuarantineTimes(planner, current, now);
-  if (auto part = FindPartToRelease(*planner, now)) {
-    return MakeChange(*part, /*is_release=*/true);
-  }
-  bool has_evidence = planner->m_first_report_at &&
-                      now >= *planner->m_first_report_at + kMinEvidenceTime;
-  if (!has_evidence || planner->m_crashes.empty()) return std::nullopt;
-  if (auto part = FindPartToQuarantine(*planner, current)) {
-    return MakeChange(*part, /*is_release=*/false);
-  }
+  if (auto release = PlanRelease(*planner, now)) return release;
+  if (!planner->m_has_new_crashes) return std::nullopt;
+  bool may_be_part = planner->m_first_report_at &&
+                     now >= *planner->m_first_report_at + kMinEvidenceTime;
+  std::optional<Suspect> cause = FindCause(*planner, current, may_be_part);
+  if (cause) return MakeChange(*cause);
+  if (may_be_part) planner->m_has_new_crashes = false;
   return std::nullopt;
 }
 
 void ApplyQuarantineChange(const gen::QuarantineChange &change,
                            gen::Quarantine *quarantine) {
-  auto *parts = quarantine->mutable_items();
-  auto is_changed = [&change](const gen::QuarantineItem &item) {
-    return item.key() == change.key();
+  auto *items = quarantine->mutable_items();
+  Suspect changed{change.kind(), change.key()};
+  auto is_changed = [&changed](const gen::QuarantineItem &item) {
+    return GetSuspect(item) == changed;
   };
-  parts->erase(std::remove_if(parts->begin(), parts->end(), is_changed),
-               parts->end());
-  while (parts->size() >= kMaxQuarantinedParts) parts->erase(parts->begin());
-  gen::QuarantineItem *item = parts->Add();
+  items->erase(std::remove_if(items->begin(), items->end(), is_changed),
+               items->end());
+  quarantine->set_version(quarantine->version() + 1);
+  if (change.is_cleared()) return;
+  gen::QuarantineItem *item = items->Add();
+  item->set_kind(change.kind());
   item->set_key(change.key());
   item->set_is_released(change.is_release());
-  quarantine->set_version(quarantine->version() + 1);
+  DropOldItems(gen::SUSPECT_PART, kMaxQuarantinedParts, quarantine);
+  DropOldItems(gen::SUSPECT_REQUEST, kMaxQuarantinedRequests, quarantine);
 }
 
-bool IsQuarantined(const gen::Quarantine &quarantine, std::uint64_t part) {
-  const gen::QuarantineItem *item = FindPart(quarantine, part);
+bool IsQuarantined(const gen::Quarantine &quarantine, const Suspect &suspect) {
+  const gen::QuarantineItem *item = FindItem(quarantine, suspect);
   return item != nullptr && !item->is_released();
 }
 
--- a/src/fleet/use_sum.cpp
+++ b/src/fleet/use_sum.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kMaxLostRequests = 512;
 constexpr std::size_t kMaxSoundParts = 8'192;
+constexpr std::size_t kMaxSoundRequests = 512;
 
 void AddTargetUse(TargetUseSum *sum, const gen::TargetUse &use,
                   const std::string &entry, base::TimePoint now) {
@@ -82,6 +83,10 @@
     if (sum->m_sound_parts.size() >= kMaxSoundParts) break;
     sum->m_sound_parts.insert(part);
   }
+  for (std::uint64_t key : report.sound_requests()) {
+    if (sum->m_sound_requests.size() >= kMaxSoundRequests) break;
+    sum->m_sound_requests.insert(key);
+  }
 }
 
 std::optional<gen::UseReport> TakeUseSum(UseSum *sum, base::TimePoint now) {
@@ -100,13 +105,18 @@
     (void)report.add_lost_requests()->ParseFromString(lost);
   }
   for (std::uint64_t part : sum->m_sound_parts) report.add_sound_parts(part);
+  for (std::uint64_t key : sum->m_sound_requests) {
+    report.add_sound_requests(key);
+  }
   sum->m_unreachable.clear();
   sum->m_lost_requests.clear();
   sum->m_sound_parts.clear();
+  sum->m_sound_requests.clear();
   sum->m_has_new_waiting = false;
   bool is_empty = report.uses_size() == 0 && report.unreachable_size() == 0 &&
                   report.lost_requests_size() == 0 &&
-                  report.sound_parts_size() == 0;
+                  report.sound_parts_size() == 0 &&
+                  report.sound_requests_size() == 0;
   if (is_empty) return std::nullopt;
   return report;
 }
--- a/src/fleet/use_sum_func.h
+++ b/src/fleet/use_sum_func.h
@@ -30,6 +30,7 @@
   /** Serialized lost prompts; hosts report each for some seconds. */
   std::set<std::string> m_lost_requests;
   std::set<std::uint64_t> m_sound_parts;
+  std::set<std::uint64_t> m_sound_requests;
   bool m_has_new_waiting = false;  ///< since the last sum
 };
 
--- a/src/fleet_control/quarantine_controller.cpp
+++ b/src/fleet_control/quarantine_controller.cpp
@@ -1,4 +1,4 @@
-/** @file quarantine_controller.cpp Quarantines prompt parts that crash runners.
+/** @file quarantine_controller.cpp Quarantines what crashes runners.
  */
 
 #include "fleet_control/quarantine_controller.h"
@@ -16,6 +16,10 @@
 using base::LogEvent;
 using base::LogLevel;
 
+const char *GetKindName(gen::SuspectKind kind) {
+  return kind == gen::SUSPECT_REQUEST ? "request" : "part";
+}
+
 }  // namespace
 
 void QuarantineController::HandleUseReport(const gen::UseReport &report,
@@ -33,14 +37,17 @@
   *command.mutable_quarantine_change() = *change;
   base::Result<void> done = m_hooks.m_execute(command, now + kCommandTimeout);
   LogEvent(LogLevel::kWarn, "quarantine_changed",
-           {{"part", fmt::format("{:x}", change->key())},
+           {{"kind", GetKindName(change->kind())},
+            {"key", fmt::format("{:x}", change->key())},
             {"is_release", change->is_release()},
+            {"is_cleared", change->is_cleared()},
             {"known_crashes", m_planner.m_crashes.size()},
             {"error", done ? "" : done.error().ToString()}});
   if (!done) return;
-  base::GetCounter(
-      "ww_quarantine_changes_total", "Prompt parts quarantined and released",
-      {{"change", change->is_release() ? "release" : "quarantine"}})
+  base::GetCounter("ww_quarantine_changes_total",
+                   "Prompt parts and requests quarantined and released",
+                   {{"change", change->is_release() ? "release" : "quarantine"},
+                    {"kind", GetKindName(change->kind())}})
       .Increment();
 }
 
--- a/src/fleet_control/quarantine_controller.h
+++ b/src/fleet_control/quarantine_controller.h
@@ -1,4 +1,4 @@
-/** @file quarantine_controller.h Quarantines prompt parts that crash runners.
+/** @file quarantine_controller.h Quarantines what crashes runners.
  */
 
 #ifndef WASABIWIND_FLEET_CONTROL_QUARANTINE_CONTROLLER_H_
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -131,22 +131,28 @@
            {{"upstream", upstream}, {"pause_ms", metadata.m_pause->count()}});
 }
 
-/** Records whether an attempt clears its prompt or makes it suspect. */
+/** Records whether an attempt clears its request or makes it suspect. */
 void Gateway::RecordOutcome(const RequestScope &scope) {
-  if (scope.m_part_keys.empty()) return;
+  const Attempt &attempt = scope.m_attempt;
+  base::TimePoint now = base::Clock::now();
   bool is_answered =
       scope.m_attempt_end == AttemptEnd::kAnswered && IsSuccess(scope.m_status);
-  if (is_answered || scope.m_attempt.m_event_count >= kSoundEventCount) {
-    RecordSoundPrompt(&m_crash_evidence, scope.m_part_keys);
+  if (is_answered || attempt.m_event_count >= kSoundEventCount) {
+    RecordSoundRequest(&m_crash_evidence, scope.m_request_key,
+                       scope.m_part_keys, now);
     return;
   }
-  if (!scope.m_attempt.m_is_connection_lost) return;
-  gen::LostRequest prompt;
-  prompt.set_upstream(scope.m_upstream);
-  prompt.set_born_ms(scope.m_attempt.m_runner_start_ms);
-  for (std::uint64_t part : scope.m_part_keys) prompt.add_parts(part);
-  RecordLostRequest(&m_crash_evidence, std::move(prompt), base::Clock::now());
-  m_is_use_report_urgent = true;
+  if (!attempt.m_is_connection_lost) return;
+  LostRequest lost;
+  lost.m_at = now;
+  lost.m_address = attempt.m_choice.m_address;
+  lost.m_report.set_upstream(scope.m_upstream);
+  lost.m_report.set_born_ms(attempt.m_runner_start_ms);
+  lost.m_report.set_request_key(scope.m_request_key);
+  lost.m_report.set_arrival(scope.m_request_hash);
+  for (std::uint64_t part : scope.m_part_keys) lost.m_report.add_parts(part);
+  CheckRunner(lost);
+  RecordLostRequest(&m_crash_evidence, std::move(lost));
 }
 
 /** Sends the request to the chosen upstream. @return false if the attempt has
@@ -186,6 +192,9 @@
   if (start.m_call == nullptr) {
     bool is_not_run = start.m_send_state == net::SendState::kNothingSent;
     RecordUnreachable(&m_stats[choice.m_upstream], base::Clock::now());
+    if (start.m_error.m_kind == base::ErrorKind::kIo) {
+      RecordRunnerEnd(choice.m_upstream, scope->m_attempt.m_runner_start_ms);
+    }
     m_client->CloseIdle(*endpoint);
     if (!is_not_run) ++scope->m_send_count;
     EndAttempt(scope, is_not_run ? AttemptEnd::kNotRun : AttemptEnd::kUnknown,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <boost/fiber/fiber.hpp>
 #include <sstream>
 #include <utility>
 
@@ -145,22 +146,34 @@
 }
 
 void Gateway::AdoptQuarantine(const gen::Quarantine &quarantine) {
-  m_quarantined_parts.clear();
+  m_quarantined.clear();
   for (const gen::QuarantineItem &item : quarantine.items()) {
-    if (!item.is_released()) m_quarantined_parts.insert(item.key());
+    if (!item.is_released()) {
+      m_quarantined.insert(fleet::Suspect{item.kind(), item.key()});
+    }
   }
-  LogEvent(LogLevel::kWarn, "quarantine_in_force",
-           {{"version", quarantine.version()},
-            {"parts", m_quarantined_parts.size()}});
+  LogEvent(
+      LogLevel::kWarn, "quarantine_in_force",
+      {{"version", quarantine.version()}, {"items", m_quarantined.size()}});
+  // An answer to a quarantined request is reported at once.
+  m_is_use_report_urgent = true;
   CancelQuarantinedRequests();
   m_view_changed.notify_all();
 }
 
-bool Gateway::IsQuarantined(const RequestScope &scope) const {
-  return std::any_of(scope.m_part_keys.begin(), scope.m_part_keys.end(),
-                     [this](std::uint64_t part) {
-                       return m_quarantined_parts.contains(part);
-                     });
+/** @return the reason to refuse a request, or nullptr if neither it nor a part
+ * of its prompt is quarantined */
+const char *Gateway::FindQuarantine(const RequestScope &scope) const {
+  if (m_quarantined.empty()) return nullptr;
+  if (m_quarantined.contains(fleet::MakeRequestSuspect(scope.m_request_key))) {
+    return kRequestQuarantineReason;
+  }
+  for (std::uint64_t part : scope.m_part_keys) {
+    if (m_quarantined.contains(fleet::MakePartSuspect(part))) {
+      return kPromptQuarantineReason;
+    }
+  }
+  return nullptr;
 }
 
 /** Ends requests that would crash their runner as soon as it answers them. */
@@ -169,8 +182,9 @@
     const Attempt &attempt = scope->m_attempt;
     bool is_waiting_for_event =
         attempt.m_call != nullptr && attempt.m_event_count < kSoundEventCount;
-    if (!is_waiting_for_event || !IsQuarantined(*scope)) continue;
-    scope->m_cancel_reason = kQuarantineReason;
+    const char *reason = FindQuarantine(*scope);
+    if (!is_waiting_for_event || reason == nullptr) continue;
+    scope->m_cancel_reason = reason;
     attempt.m_call->Cancel();
   }
 }
@@ -273,10 +287,11 @@
   gen::FleetMessage message;
   gen::UseReport *report = message.mutable_use();
   AddUpstreamsInUse(report, now);
-  FillCrashEvidence(&m_crash_evidence, report, now);
+  FillCrashEvidence(&m_crash_evidence, m_quarantined, report, now);
   bool is_empty =
       m_use_counts.m_targets.empty() && report->unreachable_size() == 0 &&
-      report->lost_requests_size() == 0 && report->sound_parts_size() == 0;
+      report->lost_requests_size() == 0 && report->sound_parts_size() == 0 &&
+      report->sound_requests_size() == 0;
   if (is_empty) return;
   m_is_use_report_urgent = false;
   m_use_report_sent_at = now;
@@ -338,6 +353,7 @@
 }
 
 void Gateway::RunTimers() {
+  boost::fibers::fiber runner_checks([this] { RunRunnerChecks(); });
   while (!m_is_stopped) {
     base::TimePoint now = base::Clock::now();
     UpdateOwnReport();
@@ -349,8 +365,10 @@
     SendUseReport(now);
     CancelAbandonedRequests();
     ResumeAwakenedAttempts();
+    ConfirmLossesByView(now);
     net::SleepFor(kTimerPeriod);
   }
+  runner_checks.join();
 }
 
 void Gateway::BeginLeaving() {
@@ -375,6 +393,7 @@
 
 void Gateway::Stop() {
   m_is_stopped = true;
+  m_runner_check_due.notify_all();
   m_view_changed.notify_all();
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <set>
@@ -29,6 +30,13 @@
 struct PendingLoadQuery;
 struct RequestScope;
 
+/** A runner that may have ended, since a connection to it did. */
+struct RunnerCheck {
+  std::string m_upstream;
+  std::string m_address;
+  std::uint64_t m_born_ms = 0;
+};
+
 /**
  * Request path of one entry host and its view of the fleet. All methods run in
  * fibers of one thread; another fiber may change the state whenever one waits.
@@ -120,6 +128,12 @@
                             const ResponseMetadata &metadata);
   void RecordOutcome(const RequestScope &scope);
 
+  // runner_check.cpp
+  void CheckRunner(const LostRequest &lost);
+  void RunRunnerChecks();
+  void RecordRunnerEnd(const std::string &upstream, std::uint64_t born_ms);
+  void ConfirmLossesByView(base::TimePoint now);
+
   // relay.cpp
   void RelayStream(RequestScope *scope);
   void RecordStreamBytes(RequestScope *scope);
@@ -139,7 +153,7 @@
   void AdoptRoutes(const std::string &publisher,
                    fleet::FactUpdateResult *result);
   void AdoptQuarantine(const gen::Quarantine &quarantine);
-  bool IsQuarantined(const RequestScope &scope) const;
+  const char *FindQuarantine(const RequestScope &scope) const;
   void CancelQuarantinedRequests();
   void CancelAbandonedRequests();
   void ResumeAwakenedAttempts();
@@ -162,7 +176,9 @@
   StatsById m_stats;
   UseCounts m_use_counts;
   CrashEvidence m_crash_evidence;
-  absl::flat_hash_set<std::uint64_t> m_quarantined_parts;
+  std::deque<RunnerCheck> m_runner_checks;
+  boost::fibers::condition_variable m_runner_check_due;
+  SuspectSet m_quarantined;
   RunnerLoads m_runner_loads;  ///< of the runners that this host tracks
   std::map<std::uint64_t, PendingLoadQuery *> m_load_queries;  ///< by number
   std::uint64_t m_last_load_query = 0;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -9,8 +9,10 @@
 
 namespace wasabiwind::gateway {
 
-/** Reason of refusals because of a quarantined part of the prompt. */
-inline constexpr const char *kQuarantineReason = "quarantined";
+/** Reasons of refusals because the request, or a part of its prompt, crashes
+ * runners. */
+inline constexpr const char *kRequestQuarantineReason = "request_quarantined";
+inline constexpr const char *kPromptQuarantineReason = "prompt_quarantined";
 
 /** Reason of answers to requests that a stop of this host cuts short. */
 inline constexpr const char *kStoppingReason = "stopping";
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -54,7 +54,8 @@
   bool was_sound = attempt.m_event_count >= kSoundEventCount;
   attempt.m_event_count += static_cast<int>(events.size());
   if (!was_sound && attempt.m_event_count >= kSoundEventCount) {
-    RecordSoundPrompt(&m_crash_evidence, scope->m_part_keys);
+    RecordSoundRequest(&m_crash_evidence, scope->m_request_key,
+                       scope->m_part_keys, base::Clock::now());
   }
   std::string text;
   std::optional<std::uint64_t> last = scope->m_last_event_id;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -31,8 +31,10 @@
 constexpr base::milliseconds kModelRetryAfter{3'500};
 /** Callers that were refused in a pause return within this time after it. */
 constexpr base::milliseconds kReturnSpread{500};
-/** A quarantine lasts for minutes. */
-constexpr base::milliseconds kQuarantineRetryAfter{60'000};
+/** A quarantine of a part lasts for minutes. One of a request that was answered
+ * elsewhere ends within a second. */
+constexpr base::milliseconds kPromptQuarantineRetryAfter{60'000};
+constexpr base::milliseconds kRequestQuarantineRetryAfter{5'000};
 constexpr base::milliseconds kDefaultCallerTimeout{30'000};
 constexpr std::size_t kMaxAdapterNameBytes = 255;
 /** Longest wait for the first route table, also as share of the timeout. */
@@ -95,7 +97,8 @@
 
 base::milliseconds GetRetryAfter(const RequestScope &scope,
                                  const std::string &reason) {
-  if (reason == kQuarantineReason) return kQuarantineRetryAfter;
+  if (reason == kPromptQuarantineReason) return kPromptQuarantineRetryAfter;
+  if (reason == kRequestQuarantineReason) return kRequestQuarantineRetryAfter;
   if (reason == GetProblemName(ChoiceProblem::kPaused)) {
     return GetPauseRetryAfter(scope);
   }
@@ -278,10 +281,10 @@
   const char *reason = nullptr;
   if (GetRemaining(*scope, now) < kMinSendTime) {
     reason = "timeout";
-  } else if (IsQuarantined(*scope)) {
-    reason = kQuarantineReason;
   } else if (m_is_ending_requests) {
     reason = kStoppingReason;
+  } else {
+    reason = FindQuarantine(*scope);
   }
   if (reason == nullptr) return false;
   scope->m_reason = reason;
@@ -341,7 +344,7 @@
       ++scope->m_possible_run_count;
       break;
   }
-  if (IsQuarantined(*scope) || m_is_ending_requests) return false;
+  if (FindQuarantine(*scope) != nullptr || m_is_ending_requests) return false;
   scope->m_excluded.insert(scope->m_upstream);
   if (scope->m_silent_attempt) return false;
   if (MayRetry(scope, scope->m_reason.c_str())) return false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -120,11 +120,30 @@
   HttpClientOptions m_options;
   std::map<Endpoint, std::deque<std::unique_ptr<ClientConnection>>> m_idle;
 
+  base::Result<std::unique_ptr<ClientConnection>> Open(
+      const Endpoint &endpoint, base::TimePoint deadline) const;
   std::unique_ptr<ClientConnection> TakeIdle(const Endpoint &endpoint);
   void PutIdle(const Endpoint &endpoint,
                std::unique_ptr<ClientConnection> connection);
 };
 
+base::Result<std::unique_ptr<ClientConnection>> HttpClientPool::Impl::Open(
+    const Endpoint &endpoint, base::TimePoint deadline) const {
+  auto connection = std::make_unique<ClientConnection>(CurrentIoContext());
+  beast::error_code error;
+  asio::ip::address address = asio::ip::make_address(endpoint.m_address, error);
+  IoResult connected = connection->m_socket.Connect(
+      tcp::endpoint(address, endpoint.m_port),
+      std::min(deadline, base::Clock::now() + m_options.m_connect_timeout));
+  if (connected.m_error) {
+    return tl::unexpected(
+        MakeIoError(connected.m_error, "connect to", endpoint));
+  }
+  connection->m_socket.Socket().set_option(tcp::no_delay(true), error);
+  SetUserTimeout(&connection->m_socket.Socket(), m_options.m_user_timeout);
+  return connection;
+}
+
 std::unique_ptr<ClientConnection> HttpClientPool::Impl::TakeIdle(
     const Endpoint &endpoint) {
   auto found = m_idle.find(endpoint);
@@ -310,21 +329,12 @@
   if (reuse == Reuse::kPooled) connection = m_impl->TakeIdle(endpoint);
   start.m_is_reused = connection != nullptr;
   if (connection == nullptr) {
-    connection = std::make_unique<ClientConnection>(CurrentIoContext());
-    beast::error_code error;
-    asio::ip::address address =
-        asio::ip::make_address(endpoint.m_address, error);
-    IoResult connected = connection->m_socket.Connect(
-        tcp::endpoint(address, endpoint.m_port),
-        std::min(deadline,
-                 base::Clock::now() + m_impl->m_options.m_connect_timeout));
-    if (connected.m_error) {
-      start.m_error = MakeIoError(connected.m_error, "connect to", endpoint);
+    auto opened = m_impl->Open(endpoint, deadline);
+    if (!opened) {
+      start.m_error = opened.error();
       return start;
     }
-    connection->m_socket.Socket().set_option(tcp::no_delay(true), error);
-    SetUserTimeout(&connection->m_socket.Socket(),
-                   m_impl->m_options.m_user_timeout);
+    connection = std::move(*opened);
   }
   std::string head = SerializeHead(endpoint, request);
   IoResult sent = connection->m_socket.WriteAll(
@@ -370,6 +380,14 @@
   }
 }
 
+base::Result<void> HttpClientPool::Connect(const Endpoint &endpoint,
+                                           base::TimePoint deadline) {
+  auto connection = m_impl->Open(endpoint, deadline);
+  if (!connection) return tl::unexpected(connection.error());
+  m_impl->PutIdle(endpoint, std::move(*connection));
+  return {};
+}
+
 void HttpClientPool::CloseIdle(const Endpoint &endpoint) {
   m_impl->m_idle.erase(endpoint);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -116,6 +116,14 @@
                                    base::TimePoint deadline,
                                    std::size_t max_body_bytes = 4 << 20);
 
+  /**
+   * Connects without sending anything; the connection goes to the pool.
+   * @return kTimeout if the peer doesn't answer, kIo if it refuses
+   * @pre called inside RunFiberThread
+   */
+  base::Result<void> Connect(const Endpoint &endpoint,
+                             base::TimePoint deadline);
+
   /** Closes pooled connections to an endpoint. */
   void CloseIdle(const Endpoint &endpoint);
 
--- a/tests/fleet_control_route_state_machine_test.cpp
+++ b/tests/fleet_control_route_state_machine_test.cpp
@@ -34,14 +34,16 @@
   (void)machine.Apply(MakeQuarantineChange(7));
   (void)machine.Apply(MakePut(2));
   EXPECT_EQ(machine.GetVersion(), 2u);
-  EXPECT_TRUE(fleet::IsQuarantined(machine.GetStored().quarantine(), 7));
+  EXPECT_TRUE(fleet::IsQuarantined(machine.GetStored().quarantine(),
+                                   fleet::MakePartSuspect(7)));
   EXPECT_EQ(tables, 2);
   EXPECT_EQ(quarantines, 1);
 
   RouteStateMachine restored(hooks);
   ASSERT_TRUE(restored.Restore(machine.PrepareSnapshot()()));
   EXPECT_EQ(restored.GetVersion(), 2u);
-  EXPECT_TRUE(fleet::IsQuarantined(restored.GetStored().quarantine(), 7));
+  EXPECT_TRUE(fleet::IsQuarantined(restored.GetStored().quarantine(),
+                                   fleet::MakePartSuspect(7)));
   EXPECT_EQ(tables, 3);
   EXPECT_EQ(quarantines, 2);
 }
--- a/tests/fleet_use_sum_test.cpp
+++ b/tests/fleet_use_sum_test.cpp
@@ -98,6 +98,7 @@
     lost->set_upstream("i-" + std::to_string(host));
     lost->add_parts(7);
     report.add_sound_parts(static_cast<std::uint64_t>(10 + host));
+    report.add_sound_requests(static_cast<std::uint64_t>(20 + host));
     AddUseReport(&sum, report, 10, At(host));
     AddUseReport(&sum, report, 10, At(host + 1));
   }
@@ -106,6 +107,7 @@
   EXPECT_EQ(report->lost_requests_size(), 3);
   EXPECT_EQ(report->lost_requests(0).parts_size(), 1);
   EXPECT_EQ(report->sound_parts_size(), 3);
+  EXPECT_EQ(report->sound_requests_size(), 3);
 }
 
 // The planner must see the same demand from sums as from single reports.
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -256,6 +256,18 @@
     m_gateway.HandleMessage(kPublisher, message);
   }
 
+  /** Quarantines one request at the gateway. */
+  void QuarantineRequest(std::uint64_t key) {
+    gen::FleetMessage message;
+    gen::FactUpdate *update = message.mutable_news();
+    update->set_publisher_epoch(1);
+    update->mutable_quarantine()->set_version(++m_quarantine_version);
+    gen::QuarantineItem *item = update->mutable_quarantine()->add_items();
+    item->set_kind(gen::SUSPECT_REQUEST);
+    item->set_key(key);
+    m_gateway.HandleMessage(kPublisher, message);
+  }
+
   /** Earns credit for retries. */
   void EarnRetries() {
     for (int i = 0; i < 20; ++i) {
--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -1,6 +1,7 @@
 /** @file gateway_request_test.cpp Requests through a gateway to fake runners.
  */
 
+#include "gateway/request_key_func.h"
 #include "gateway_harness.h"
 
 namespace wasabiwind::gateway {
@@ -210,25 +211,52 @@
   return MakePartKeys(metadata);
 }
 
+/** Runs a test with one runner, which the first request ends. */
+void RunWithCrash(const std::function<void(Harness *)> &body) {
+  Harness *current = nullptr;
+  auto crash = [&current](int, const net::HttpRequest &,
+                          net::HttpExchange &exchange) {
+    current->m_runners[0]->m_server.Stop();
+    exchange.Abort();
+  };
+  RunWith({crash}, [&](Harness *harness) {
+    current = harness;
+    body(harness);
+  });
+}
+
 // Nothing related a crash of a runner to the prompts that it was reading.
 TEST(GatewayRequestTest, PromptLostWithItsRunnerIsReported) {
+  RunWithCrash([](Harness *harness) {
+    FakeExchange exchange;
+    harness->Call("/once-flow/", &exchange, "1200", "aa:100,bb:100,own:9");
+    net::SleepFor(milliseconds(200));
+    ASSERT_FALSE(harness->m_use_reports.empty());
+    const gen::UseReport &report = harness->m_use_reports.back();
+    ASSERT_EQ(report.lost_requests_size(), 1);
+    const gen::LostRequest &lost = report.lost_requests(0);
+    EXPECT_EQ(lost.upstream(), "i-0");
+    EXPECT_EQ(lost.born_ms(), 5u);
+    std::vector<std::uint64_t> parts(lost.parts().begin(), lost.parts().end());
+    EXPECT_EQ(parts, GetPartKeys({"aa", "bb"}));
+  });
+}
+
+// Answers that faulty runners broke off counted as crashes, so that a request
+// which was sent again to the same runner was quarantined.
+TEST(GatewayRequestTest, AnswerBrokenOffByARunnerThatRunsIsNotReported) {
   RunWith({[](int, const net::HttpRequest &, net::HttpExchange &exchange) {
             exchange.Abort();
           }},
           [](Harness *harness) {
-            FakeExchange exchange;
-            harness->Call("/once-flow/", &exchange, "1200",
-                          "aa:100,bb:100,own:9");
-            net::SleepFor(milliseconds(200));
-            ASSERT_FALSE(harness->m_use_reports.empty());
-            const gen::UseReport &report = harness->m_use_reports.back();
-            ASSERT_EQ(report.lost_requests_size(), 1);
-            const gen::LostRequest &lost = report.lost_requests(0);
-            EXPECT_EQ(lost.upstream(), "i-0");
-            EXPECT_EQ(lost.born_ms(), 5u);
-            std::vector<std::uint64_t> parts(lost.parts().begin(),
-                                             lost.parts().end());
-            EXPECT_EQ(parts, GetPartKeys({"aa", "bb"}));
+            for (const char *path : {"/once/", "/safe/", "/flow/"}) {
+              FakeExchange exchange;
+              harness->Call(path, &exchange, "1200", "aa:100,own:9");
+            }
+            net::SleepFor(milliseconds(700));
+            for (const gen::UseReport &report : harness->m_use_reports) {
+              EXPECT_EQ(report.lost_requests_size(), 0);
+            }
           });
 }
 
@@ -255,6 +283,91 @@
       });
 }
 
+/** @return the key of the request that Harness::Call sends. */
+std::uint64_t GetRequestKey(const std::string &path) {
+  net::HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = path + "x";
+  request.m_body = "{}";
+  RequestMetadata metadata;
+  metadata.m_host = "a.example";
+  return MakeRequestKey(request, metadata);
+}
+
+// Nothing related the crashes of plain services to the request that came again.
+TEST(GatewayRequestTest, RequestLostWithItsRunnerIsReportedForAllRoutes) {
+  for (const char *path : {"/once/", "/safe/", "/once-flow/"}) {
+    RunWithCrash([path](Harness *harness) {
+      FakeExchange exchange;
+      harness->Call(path, &exchange);
+      net::SleepFor(milliseconds(150));
+      ASSERT_FALSE(harness->m_use_reports.empty()) << path;
+      const gen::UseReport &report = harness->m_use_reports.back();
+      ASSERT_EQ(report.lost_requests_size(), 1) << path;
+      EXPECT_EQ(report.lost_requests(0).request_key(), GetRequestKey(path));
+    });
+  }
+}
+
+TEST(GatewayRequestTest, QuarantinedRequestIsRefusedAndOthersAreServed) {
+  RunWith(
+      {[](int, const net::HttpRequest &request, net::HttpExchange &exchange) {
+        AnswerSigned(request, exchange, 200, "done");
+      }},
+      [](Harness *harness) {
+        harness->QuarantineRequest(GetRequestKey("/once/"));
+        FakeExchange refused;
+        harness->Call("/once/", &refused, "1200", "", "another-id");
+        EXPECT_EQ(refused.m_status, 503);
+        EXPECT_NE(refused.m_headers.Find("Retry-After"), nullptr);
+        FakeExchange served;
+        harness->Call("/safe/", &served);
+        EXPECT_EQ(served.m_status, 200);
+        EXPECT_EQ(harness->CountCalls(), 1);
+      });
+}
+
+// A plain request that waits on a runner when it is quarantined would crash it.
+TEST(GatewayRequestTest, WaitingPlainRequestIsCancelledWhenQuarantined) {
+  Script wait = [](int, const net::HttpRequest &, net::HttpExchange &exchange) {
+    net::SleepFor(milliseconds(400));
+    exchange.Abort();
+  };
+  RunWith({wait, wait}, [](Harness *harness) {
+    FakeExchange exchange;
+    boost::fibers::fiber control([harness] {
+      net::SleepFor(milliseconds(100));
+      harness->QuarantineRequest(GetRequestKey("/safe/"));
+    });
+    base::TimePoint start = base::Clock::now();
+    harness->Call("/safe/", &exchange);
+    EXPECT_LT(base::Clock::now() - start, milliseconds(300));
+    control.join();
+    EXPECT_EQ(exchange.m_status, 502);
+    EXPECT_EQ(harness->CountCalls(), 1);
+  });
+}
+
+// A request that is asked for all the time was refused for minutes, since it
+// was on three runners that crashed for other reasons.
+TEST(GatewayRequestTest, AnswerToAQuarantinedRequestIsReported) {
+  RunWith(
+      {[](int, const net::HttpRequest &request, net::HttpExchange &exchange) {
+        AnswerSigned(request, exchange, 200, "done");
+      }},
+      [](Harness *harness) {
+        FakeExchange exchange;
+        harness->Call("/safe/", &exchange);
+        harness->m_use_reports.clear();
+        harness->QuarantineRequest(GetRequestKey("/safe/"));
+        net::SleepFor(milliseconds(150));
+        ASSERT_FALSE(harness->m_use_reports.empty());
+        const gen::UseReport &report = harness->m_use_reports.back();
+        ASSERT_EQ(report.sound_requests_size(), 1);
+        EXPECT_EQ(report.sound_requests(0), GetRequestKey("/safe/"));
+      });
+}
+
 net::HttpRequest MakeModelRequest(const std::string &model) {
   net::HttpRequest request;
   request.m_method = "POST";
