Request a table at once from the control host that is followed

Cause: the followed control host had been cut off from the others. The entry host moved on after 2.5 s and heard of the newer table at once, but waited 400 ms for the control host that it had left, and then asked all others for the table, one each 300 ms, but not the one that it followed.

Change: a host that follows the nearest working control host requests the table from it as soon as that one has a newer one. The wait stays for followers of all control hosts.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -89,17 +89,18 @@
 
 /**
  * Decides whether to ask a publisher for the table that it announces. Tables
- * are large and traffic between regions is charged, so a host that has a table
- * waits for a near publisher first. A host without a table asks at once.
+ * are large and traffic between regions is charged, so a host that follows all
+ * publishers and has a table waits for a near one first. A host that follows
+ * the nearest that works, or has no table, asks at once.
  */
 bool WantsRoutes(const Follower &follower, const std::string &publisher,
                  std::uint64_t announced, base::TimePoint now) {
   if (announced <= follower.m_routes_version) return false;
   if (now < follower.m_routes_asked_at + kRoutesRetryDelay) return false;
-  bool must_wait = follower.m_routes_version != 0 &&
-                   now < follower.m_outdated_since + kNearRoutesWait &&
-                   !IsNear(follower, publisher) &&
-                   HasNearPublisher(follower, now);
+  bool must_wait =
+      follower.m_mode == FollowMode::kAll && follower.m_routes_version != 0 &&
+      now < follower.m_outdated_since + kNearRoutesWait &&
+      !IsNear(follower, publisher) && HasNearPublisher(follower, now);
   return !must_wait;
 }
 
--- a/tests/fleet_publisher_choice_test.cpp
+++ b/tests/fleet_publisher_choice_test.cpp
@@ -194,6 +194,38 @@
   EXPECT_TRUE(list_asked(2'050, 3'000).empty());
 }
 
+// A host whose near control host was cut off from the others moved on after
+// 2.5 s, and then waited for that control host's table before it requested the
+// one that the new one had. (trouble-3 of hutchworks-live, seed 53: it used an
+// old table for 2.7 s.)
+TEST(EntryFollowerTest, RequestsATableAtOnceFromThePublisherThatItMovedTo) {
+  Follower follower = MakeEntryFollower();
+  follower.m_near_domains = {"a"};
+  follower.m_routes_version = 1;
+  TickFollower(&follower, At(0));
+  HandleFactUpdate(&follower, kFar, MakeUpdate(kNear), At(20));
+  HandleFactUpdate(&follower, kNear, MakeUpdate(kNear), At(70));
+  ASSERT_EQ(follower.m_choice.m_current, kNear);
+  // The near one loses its leader but goes on to answer.
+  int ms = 500;
+  for (; ms < 5'000 && follower.m_choice.m_current == kNear; ms += 100) {
+    HandleFactUpdate(&follower, kNear, MakeUpdate(""), At(ms));
+    TickFollower(&follower, At(ms));
+  }
+  std::string followed = follower.m_choice.m_current;
+  ASSERT_NE(followed, kNear);
+  gen::FactUpdate newer = MakeUpdate(kFar);
+  newer.set_routes_version(2);
+  FactUpdateResult result =
+      HandleFactUpdate(&follower, followed, newer, At(ms + 20));
+  bool is_requested = std::any_of(
+      result.m_messages.begin(), result.m_messages.end(),
+      [&followed](const OutMessage &out) {
+        return out.m_to == followed && out.m_message.follow().wants_routes();
+      });
+  EXPECT_TRUE(is_requested);
+}
+
 // Digests have no version: one that the former publisher sent late replaced the
 // newer one for good, so that hosts disagreed on the load trackers.
 TEST(EntryFollowerTest, IgnoresLateFactsOfAPublisherThatItLeft) {
