Free the listening port before a message transport is destroyed

With 16 busy processes and six runs at once, 18 of 18 runs failed within eight repeats of the test with "can't listen on tcp://127.0.0.1:PORT: Address already in use"; the port could be bound 0.9 to 142 ms later.

Cause: zmq_close only tells ZeroMQ's thread to close a socket, so the destructor of MessageTransport returned while the listening socket was open. In all 18 runs the socket that held the port in the listen state belonged to the test's own process. The recorder's log had been opened each time, so neither the folder nor its lock was the cause. Programs aren't affected: none opens a second transport on the port of a first, and the end of a process closes its sockets.

Change: the destructor unbinds the listening endpoint and waits for ZeroMQ's event that it is closed. A context for each transport, whose end can be waited for, was tried and dropped: beside 32 busy processes the slowest of 1,200 first messages between two transports took 90 and 357 ms, against 58 and 178 ms with one context, because their handshake then runs on two threads.

Test: PortCanBeBoundAgainAtOnce.

--- a/src/net/message_transport.cpp
+++ b/src/net/message_transport.cpp
@@ -6,12 +6,14 @@
 #include <zmq.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <cassert>
+#include <cerrno>
 #include <deque>
 #include <map>
 
@@ -52,6 +54,31 @@
   (void)code;
 }
 
+/** @return a socket that gets an event when the listening endpoint of another
+ * has been closed, or nullptr with errno set. */
+void *OpenCloseMonitor(void *socket) {
+  static std::atomic<std::uint64_t> next_number = 0;
+  std::string address = fmt::format("inproc://closed-{}", next_number++);
+  if (zmq_socket_monitor(socket, address.c_str(), ZMQ_EVENT_CLOSED) != 0) {
+    return nullptr;
+  }
+  void *monitor = zmq_socket(SharedContext(), ZMQ_PAIR);
+  if (monitor == nullptr) return nullptr;
+  SetOption(monitor, ZMQ_LINGER, 0);
+  if (zmq_connect(monitor, address.c_str()) == 0) return monitor;
+  zmq_close(monitor);
+  return nullptr;
+}
+
+/** Blocks until a monitor gets an event. */
+void WaitForEvent(void *monitor) {
+  zmq_msg_t event;
+  zmq_msg_init(&event);
+  while (zmq_msg_recv(&event, monitor, 0) < 0 && errno == EINTR) {
+  }
+  zmq_msg_close(&event);
+}
+
 std::string ToZmqAddress(const Endpoint &endpoint) {
   return "tcp://" + endpoint.ToString();
 }
@@ -78,6 +105,8 @@
 struct MessageTransport::Impl {
   MessageTransportOptions m_options;
   void *m_receiver = nullptr;
+  void *m_close_monitor = nullptr;  ///< of m_receiver, once it is bound
+  std::string m_bound_address;
   std::map<Endpoint, Peer> m_peers;
   boost::fibers::fiber m_flusher;  ///< runs while messages are pending
   bool m_is_flushing = false;
@@ -88,6 +117,8 @@
   DropFilter m_drop_filter;
   prometheus::Counter &m_dropped_unconnected = GetDropCounter("unconnected");
 
+  base::Result<void> Bind();
+  void Unbind();
   Peer *FindOrOpenPeer(const Endpoint &endpoint);
   bool SendNow(Peer *peer, const std::string &message);
   bool FlushPeer(Peer *peer);
@@ -102,6 +133,7 @@
 }
 
 MessageTransport::~MessageTransport() {
+  m_impl->Unbind();
   for (auto &[endpoint, peer] : m_impl->m_peers) zmq_close(peer.m_socket);
   if (m_impl->m_receiver != nullptr) zmq_close(m_impl->m_receiver);
 }
@@ -116,26 +148,48 @@
   std::int64_t max_size =
       static_cast<std::int64_t>(m_impl->m_options.m_max_message_bytes);
   zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &max_size, sizeof(max_size));
-  std::string address = ToZmqAddress(m_impl->m_options.m_listen);
-  if (m_impl->m_options.m_listen.m_port == 0) {
+  return m_impl->Bind();
+}
+
+base::Result<void> MessageTransport::Impl::Bind() {
+  std::string address = ToZmqAddress(m_options.m_listen);
+  if (m_options.m_listen.m_port == 0) {
     address = address.substr(0, address.rfind(':')) + ":*";
   }
-  if (zmq_bind(socket, address.c_str()) != 0) {
+  if (zmq_bind(m_receiver, address.c_str()) != 0) {
     return base::MakeError(
         base::ErrorKind::kIo,
         fmt::format("can't listen on {}: {}", address, zmq_strerror(errno)),
         "use an address of this host and a port that no other program uses");
   }
+  m_close_monitor = OpenCloseMonitor(m_receiver);
+  if (m_close_monitor == nullptr) {
+    return base::MakeError(
+        base::ErrorKind::kIo,
+        fmt::format("can't monitor {}: {}", address, zmq_strerror(errno)),
+        "raise the limit of open files");
+  }
   char bound[256];
   std::size_t size = sizeof(bound);
-  zmq_getsockopt(socket, ZMQ_LAST_ENDPOINT, bound, &size);
-  std::string text = std::string(bound).substr(std::string("tcp://").size());
+  zmq_getsockopt(m_receiver, ZMQ_LAST_ENDPOINT, bound, &size);
+  m_bound_address = bound;
+  std::string text = m_bound_address.substr(std::string("tcp://").size());
   base::Result<Endpoint> endpoint = ParseEndpoint(text);
   if (!endpoint) return tl::unexpected(endpoint.error());
-  m_impl->m_local = *endpoint;
+  m_local = *endpoint;
   return {};
 }
 
+/** Waits until ZeroMQ's thread has closed the listening endpoint. zmq_unbind
+ * and zmq_close only tell that thread to do so. */
+void MessageTransport::Impl::Unbind() {
+  if (m_close_monitor == nullptr) return;
+  if (zmq_unbind(m_receiver, m_bound_address.c_str()) == 0) {
+    WaitForEvent(m_close_monitor);
+  }
+  zmq_close(m_close_monitor);
+}
+
 Endpoint MessageTransport::LocalEndpoint() const { return m_impl->m_local; }
 
 Peer *MessageTransport::Impl::FindOrOpenPeer(const Endpoint &endpoint) {
--- a/src/net/message_transport.h
+++ b/src/net/message_transport.h
@@ -31,6 +31,9 @@
 class MessageTransport {
  public:
   explicit MessageTransport(MessageTransportOptions options);
+
+  /** Closes all connections and the listening endpoint, which can be bound
+   * again as soon as this returns. @pre Run isn't active */
   ~MessageTransport();
   MessageTransport(const MessageTransport &) = delete;
   MessageTransport &operator=(const MessageTransport &) = delete;
--- a/tests/net_message_test.cpp
+++ b/tests/net_message_test.cpp
@@ -10,6 +10,7 @@
 #include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/message_transport.h"
+#include "scenario/runner_base.h"
 
 namespace wasabiwind::net {
 namespace {
@@ -22,6 +23,17 @@
   return options;
 }
 
+/** @return options with a port that no other process takes while it is closed:
+ * it lies below the kernel's ephemeral range, and the address belongs to this
+ * process alone. */
+MessageTransportOptions ReservedPort() {
+  constexpr std::uint16_t kPort = 18'200;
+  MessageTransportOptions options;
+  options.m_listen = Endpoint{
+      scenario::MakeLoopbackHost(static_cast<std::uint32_t>(getpid())), kPort};
+  return options;
+}
+
 /** Waits until a condition holds, for a limited time. */
 template <typename Condition>
 bool WaitFor(Condition condition) {
@@ -130,6 +142,21 @@
   });
 }
 
+/** Guards against a recorder that can't be restarted on its port, because the
+ * destructor returned while the listening socket was still open. */
+TEST(MessageTransportTest, PortCanBeBoundAgainAtOnce) {
+  constexpr int kRounds = 100;
+  MessageTransport sender(AnyPort());
+  ASSERT_TRUE(sender.Listen());
+  int failures = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    MessageTransport receiver(ReservedPort());
+    failures += receiver.Listen() ? 0 : 1;
+    sender.Send(ReservedPort().m_listen, "message");
+  }
+  EXPECT_EQ(failures, 0);
+}
+
 TEST(MessageTransportTest, DropFilterDropsOneDirection) {
   MessageTransport sender(AnyPort());
   MessageTransport receiver(AnyPort());
