Restart recorders of the test on ports that stay theirs, and fail at once

Seen: recorder_server_test, ClaimsSurviveRestartAndTwoLostDisks: after a recorder couldn't be opened again, the test went on, each claim waited for a majority, and the run ended at its limit of 300 s without naming the error.

Cause: the test ignored that Restart had failed. It also restarted recorders on ports that the kernel had picked, which another program may be given while the recorder is stopped.

Change: the recorders use fixed ports below the ephemeral range on a loopback address of the process, as control_process_test does; a failed start or restart ends the test with the error of Open.

--- a/tests/recorder.cmake
+++ b/tests/recorder.cmake
@@ -1,1 +1,1 @@
-ww_add_test(recorder_server_test ww_recorder_lib)
+ww_add_test(recorder_server_test ww_recorder_lib ww_scenario_lib)
--- a/tests/recorder_server_test.cpp
+++ b/tests/recorder_server_test.cpp
@@ -13,6 +13,7 @@
 #include "net/fiber_scheduler.h"
 #include "once/claim_client.h"
 #include "once/record_log.h"
+#include "scenario/runner_base.h"
 
 namespace wasabiwind::recorder {
 namespace {
@@ -21,6 +22,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/**
+ * Port of the first recorder; the others follow. The ports lie below the
+ * kernel's ephemeral range, and the address belongs to this process alone, so
+ * that no other process takes a port while its recorder is stopped.
+ */
+constexpr std::uint16_t kFirstPort = 18'200;
+
+net::Endpoint MakeEndpoint(std::size_t recorder) {
+  return {scenario::MakeLoopbackHost(static_cast<std::uint32_t>(getpid())),
+          static_cast<std::uint16_t>(kFirstPort + recorder)};
+}
+
 std::string MakeFolder(const std::string &name) {
   std::string folder = testing::TempDir() + "ww_recorder_" +
                        std::to_string(getpid()) + "_" + name;
@@ -66,14 +79,15 @@
         testing::UnitTest::GetInstance()->current_test_info()->name();
     for (std::size_t i = 0; i < once::kGroupSize; ++i) {
       m_folders[i] = MakeFolder(name + std::to_string(i));
-      m_recorders[i] = std::make_unique<RunningRecorder>(
-          m_folders[i], net::Endpoint{"127.0.0.1", 0});
-      ASSERT_TRUE(m_recorders[i]->m_opened);
-      m_endpoints[i] = m_recorders[i]->m_server->LocalEndpoint();
+      m_endpoints[i] = MakeEndpoint(i);
+    }
+    for (std::size_t i = 0; i < once::kGroupSize; ++i) {
+      ASSERT_NO_FATAL_FAILURE(StartRecorder(i));
     }
-    for (std::size_t i = 0; i < once::kGroupSize; ++i) StartRecorder(i);
     ASSERT_TRUE(m_client.Start());
-    for (std::size_t i = 0; i < once::kGroupSize; ++i) WaitUntilReady(i);
+    for (std::size_t i = 0; i < once::kGroupSize; ++i) {
+      ASSERT_NO_FATAL_FAILURE(WaitUntilReady(i));
+    }
   }
 
   void TearDown() override {
@@ -85,6 +99,10 @@
   }
 
   void StartRecorder(std::size_t i) {
+    m_recorders[i] =
+        std::make_unique<RunningRecorder>(m_folders[i], m_endpoints[i]);
+    const base::Result<void> &opened = m_recorders[i]->m_opened;
+    ASSERT_TRUE(opened) << opened.error().ToString();
     m_recorders[i]->Start({m_endpoints[(i + 1) % once::kGroupSize],
                            m_endpoints[(i + 2) % once::kGroupSize]});
   }
@@ -96,10 +114,7 @@
       std::filesystem::remove_all(m_folders[i]);
       std::filesystem::create_directories(m_folders[i]);
     }
-    m_recorders[i] =
-        std::make_unique<RunningRecorder>(m_folders[i], m_endpoints[i]);
-    ASSERT_TRUE(m_recorders[i]->m_opened);
-    StartRecorder(i);
+    ASSERT_NO_FATAL_FAILURE(StartRecorder(i));
     WaitUntilReady(i);
   }
 
@@ -168,9 +183,9 @@
   for (int i = 0; i < kKeys; ++i) {
     ASSERT_EQ(Claim("k" + std::to_string(i)), ClaimOutcome::kGranted);
   }
-  Restart(0, false);
-  Restart(1, true);
-  Restart(2, true);
+  ASSERT_NO_FATAL_FAILURE(Restart(0, false));
+  ASSERT_NO_FATAL_FAILURE(Restart(1, true));
+  ASSERT_NO_FATAL_FAILURE(Restart(2, true));
   for (int i = 0; i < kKeys; ++i) {
     EXPECT_EQ(Claim("k" + std::to_string(i)), ClaimOutcome::kInProgress);
   }
@@ -206,6 +221,7 @@
   }
   Restart(1, true);
   for (std::thread &thread : threads) thread.join();
+  ASSERT_FALSE(HasFatalFailure());
   int granted = 0;
   for (const auto &count : grants) {
     EXPECT_LE(count, 1);
