Reopen ports in the transport tests that no other process takes

Cause: two tests closed a port that the kernel had picked and bound it again later, MessageToMissingPeerExpires 0.7 s later; another program may be given that port meanwhile. No such failure was seen. The first one repeated Listen until it succeeded, which couldn't work: a second call on one transport fails an assertion.

Change: both use the fixed port of the process's own loopback address, and Listen must succeed at the first call.

--- a/tests/net_message_test.cpp
+++ b/tests/net_message_test.cpp
@@ -1,5 +1,6 @@
 /** @file net_message_test.cpp One-way messages between two transports. */
 
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -107,12 +108,7 @@
 
 /** Guards against old messages that reach a peer after its restart. */
 TEST(MessageTransportTest, MessageToMissingPeerExpires) {
-  Endpoint peer;
-  {
-    MessageTransport probe(AnyPort());
-    ASSERT_TRUE(probe.Listen());
-    peer = probe.LocalEndpoint();
-  }
+  Endpoint peer = ReservedPort().m_listen;
   MessageTransport sender(AnyPort());
   ASSERT_TRUE(sender.Listen());
   RunFiberThread([&] {
@@ -122,10 +118,8 @@
     for (int i = 0; i < 100; ++i) sender.Send(peer, "overflow");
     EXPECT_FALSE(sender.Send(peer, "overflow"));
     SleepFor(milliseconds(700));
-    MessageTransportOptions options;
-    options.m_listen = peer;
-    MessageTransport late(options);
-    ASSERT_TRUE(WaitFor([&] { return late.Listen().has_value(); }));
+    MessageTransport late(ReservedPort());
+    ASSERT_TRUE(late.Listen());
     std::vector<std::string> received;
     boost::fibers::fiber receiving([&] {
       late.Run([&](std::string m) { received.push_back(std::move(m)); });
@@ -189,18 +183,17 @@
 // heartbeats yet, and kept a host from all messages of its peer for 30 s.
 TEST(MessageTransportTest, SilentHandshakeIsGivenUp) {
   int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  Endpoint peer = ReservedPort().m_listen;
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(peer.m_port);
+  ASSERT_EQ(::inet_pton(AF_INET, peer.m_address.c_str(), &address.sin_addr), 1);
   int reuse = 1;
   ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
   ASSERT_EQ(
       ::bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)),
       0);
   ASSERT_EQ(::listen(listener, 1), 0);
-  socklen_t size = sizeof(address);
-  ::getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
-  Endpoint peer{"127.0.0.1", ntohs(address.sin_port)};
 
   MessageTransport sender(AnyPort());
   ASSERT_TRUE(sender.Listen());
@@ -209,9 +202,7 @@
     int silent = ::accept(listener, nullptr, nullptr);
     ASSERT_GE(silent, 0);
     ::close(listener);
-    MessageTransportOptions options;
-    options.m_listen = peer;
-    MessageTransport receiver(options);
+    MessageTransport receiver(ReservedPort());
     ASSERT_TRUE(receiver.Listen());
     bool is_received = false;
     boost::fibers::fiber running([&] {
