Give soaks and control host tests that run at once different addresses

Seen: nothing failed. The addresses of two soaks were the same if their process IDs differed by a multiple of 6,000, and could be those of fleet_control_process_test, which uses the same ports; each would then have reached the other's hosts, or failed to restart one on its port.

Cause: soaks chose among 30 x 200 networks by process ID, the test among 200 x 250 that overlap with them, each by a formula of its own.

Change: both use scenario::MakeLoopbackNetwork, which has 32,512 networks outside the range of MakeLoopbackHost. Beyond that number, process IDs share networks.

--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -12,6 +12,7 @@
 
 #include "base/log_func.h"
 #include "net/fiber_scheduler.h"
+#include "scenario/runner_base.h"
 #include "soak/plan_func.h"
 
 namespace wasabiwind::soak {
@@ -94,10 +95,8 @@
 /** @return a loopback address that depends on the process ID, so that soaks
  * that run at the same time use different addresses. */
 std::string SoakRun::MakeIp(int number) const {
-  constexpr int kNetworks = 200;
-  int process = ::getpid();
-  return fmt::format("127.{}.{}.{}", 30 + process % 30,
-                     process / 30 % kNetworks, number);
+  auto process_id = static_cast<std::uint32_t>(::getpid());
+  return scenario::MakeLoopbackNetwork(process_id) + std::to_string(number);
 }
 
 void SoakRun::MakeHosts() {
--- a/src/scenario/runner.cpp
+++ b/src/scenario/runner.cpp
@@ -87,6 +87,14 @@
                      (process_id >> 8) & 0xFF, process_id & 0xFF);
 }
 
+std::string MakeLoopbackNetwork(std::uint32_t process_id) {
+  // Above the addresses of MakeLoopbackHost; 127.255.x.x stays free.
+  constexpr std::uint32_t kFirst = 128;
+  constexpr std::uint32_t kCount = 127;
+  return fmt::format("127.{}.{}.", kFirst + process_id / 256 % kCount,
+                     process_id % 256);
+}
+
 Runner::Runner(Scenario scenario, RunnerOptions options)
     : m_scenario(std::move(scenario)), m_options(std::move(options)) {
   m_addresses.m_host = MakeLoopbackHost(static_cast<std::uint32_t>(::getpid()));
--- a/src/scenario/runner_base.h
+++ b/src/scenario/runner_base.h
@@ -32,6 +32,10 @@
 /** @return a loopback address that is unique to the process ID. */
 std::string MakeLoopbackHost(std::uint32_t process_id);
 
+/** @return the first three parts of loopback addresses, such as "127.128.5.".
+ * They are those of no other process whose ID differs by less than 32,512. */
+std::string MakeLoopbackNetwork(std::uint32_t process_id);
+
 /**
  * Executes the statements of one scenario in order. A violated expectation or
  * invariant is reported as kConflict; errors of other kinds mean that the
--- a/tests/fleet_control_process_test.cpp
+++ b/tests/fleet_control_process_test.cpp
@@ -14,6 +14,7 @@
 #include "net/fiber_scheduler.h"
 #include "net/http_client.h"
 #include "scenario/process_base.h"
+#include "scenario/runner_base.h"
 
 namespace wasabiwind::fleet_control {
 namespace {
@@ -44,8 +45,8 @@
     ASSERT_NE(mkdtemp(pattern.data()), nullptr);
     m_folder = pattern;
     // Each run has its own addresses, so that runs don't interfere.
-    m_network = "127." + std::to_string(20 + ::getpid() % 200) + "." +
-                std::to_string(::getpid() / 200 % 250) + ".";
+    m_network =
+        scenario::MakeLoopbackNetwork(static_cast<std::uint32_t>(::getpid()));
     for (int host = 1; host <= 3; ++host) Start(host, /*is_first=*/true);
   }
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/json/parse.hpp>
 #include <csignal>
+#include <set>
 
 #include "base/random_func.h"
 #include "scenario/check_func.h"
@@ -282,6 +283,18 @@
   EXPECT_NE(MakeLoopbackHost(4000000), MakeLoopbackHost(3999999));
 }
 
+/** Guards against two soaks that run at the same time on the same addresses,
+ * which they did if their process IDs differed by a multiple of 6,000. */
+TEST(RunnerTest, NetworksOfProcessesDiffer) {
+  constexpr std::uint32_t kProcesses = 32'512;
+  std::set<std::string> networks;
+  for (std::uint32_t id = 1; id <= kProcesses; ++id) {
+    networks.insert(MakeLoopbackNetwork(id));
+  }
+  EXPECT_EQ(networks.size(), kProcesses);
+  EXPECT_EQ(MakeLoopbackNetwork(0x0102), "127.129.2.");
+}
+
 /** Guards against processes that outlive the runner: a stopped child still
  * counts as running, so that it is killed. */
 TEST(ProcessTest, ChildIsKilledWithItsOwner) {
