--- a/src/net/message_transport.cpp
+++ b/src/net/message_transport.cpp
@@ -33,6 +33,8 @@
 constexpr int kConnectTimeoutMs = 1'000;
 /** A connection has no heartbeats before its handshake is complete. */
 constexpr int kHandshakeTimeoutMs = 1'500;
+/** Longest wait until the listening endpoint is closed. */
+constexpr base::milliseconds kCloseTimeout{1'000};
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 1'000;
 /** How long a message waits for its peer to be connected. */
@@ -70,8 +72,9 @@
   return nullptr;
 }
 
-/** Blocks until a monitor gets an event. */
+/** Blocks until a monitor gets an event, at most for kCloseTimeout. */
 void WaitForEvent(void *monitor) {
+  SetOption(monitor, ZMQ_RCVTIMEO, static_cast<int>(kCloseTimeout.count()));
   zmq_msg_t event;
   zmq_msg_init(&event);
   while (zmq_msg_recv(&event, monitor, 0) < 0 && errno == EINTR) {
