Keep a silent engine's stream until another engine goes on with it

Callers saw streams cut with upstream_failed, long before their deadline, when an engine paused for longer than stall_ms and then went on: with one engine, with an empty retry budget, or when the other engine refused.

Cause: after stall_ms without a part the relay gave up the attempt, and only then asked routing whether another one may be started.

Change: routing starts a backup beside the silent attempt (StartBackup) if retry budget, attempts and a free slot allow it. The relay leaves the silent attempt only once a backup has its first token, or drops the backups once the silent one goes on; the other work is cancelled at its engine at once. Without a backup the stream waits, and ends at its deadline with upstream_timeout. An engine that already runs an attempt of the request gets a backup only if no other has the target, on a new connection, since the connection alone may be lost.

--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -177,14 +177,19 @@
   absl::flat_hash_map<base::TargetId, ActivationRefusal> m_activation_refusals;
 };
 
+UpstreamLease MakeLease(const Shard &shard, const route::StartDecision &start) {
+  auto view = shard.m_views.find(start.m_upstream);
+  assert(view != shard.m_views.end());
+  return UpstreamLease{shard.m_index, start.m_request, start.m_attempt,
+                       view->second};
+}
+
 /** Passes the decisions of the router to the waiting fibers. */
 void ApplyDecisions(Shard *shard, const route::Decisions &decisions) {
   for (const route::StartDecision &start : decisions.m_starts) {
     auto waiter = shard->m_waiters.extract(start.m_request);
-    auto view = shard->m_views.find(start.m_upstream);
-    assert(!waiter.empty() && view != shard->m_views.end());
-    waiter.mapped()->Grant(UpstreamLease{shard->m_index, start.m_request,
-                                         start.m_attempt, view->second});
+    assert(!waiter.empty());
+    waiter.mapped()->Grant(MakeLease(*shard, start));
   }
   for (const route::RefuseDecision &refuse : decisions.m_refusals) {
     auto waiter = shard->m_waiters.extract(refuse.m_request);
@@ -487,6 +492,34 @@
   return m_impl->WaitFor(&shard, lease.m_request, waiter, start, set_cancel);
 }
 
+std::optional<UpstreamLease> Dispatcher::StartBackup(
+    const UpstreamLease &lease) {
+  Shard &shard = m_impl->m_shards[lease.m_shard];
+  std::lock_guard<std::mutex> lock(shard.m_mutex);
+  std::optional<route::StartDecision> start =
+      route::StartBackup(&shard.m_router, lease.m_attempt, base::Clock::now());
+  if (!start) return std::nullopt;
+  return MakeLease(shard, *start);
+}
+
+void Dispatcher::NoteFailure(const UpstreamLease &lease,
+                             route::ExecutionState ran, std::uint64_t tokens) {
+  m_impl->Run(&m_impl->m_shards[lease.m_shard],
+              [&](route::Router *router, base::TimePoint now,
+                  route::Decisions *decisions) {
+                route::OnFailed(router, lease.m_attempt, ran, Clamp32(tokens),
+                                now, decisions);
+              });
+}
+
+void Dispatcher::NoteCancel(const UpstreamLease &lease) {
+  m_impl->Run(&m_impl->m_shards[lease.m_shard],
+              [&](route::Router *router, base::TimePoint now,
+                  route::Decisions *decisions) {
+                route::OnCancelled(router, lease.m_attempt, now, decisions);
+              });
+}
+
 void Dispatcher::Abandon(const UpstreamLease &lease) {
   m_impl->Run(&m_impl->m_shards[lease.m_shard],
               [&](route::Router *router, base::TimePoint now,
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -60,7 +60,7 @@
 };
 
 /** Right to send one request to an upstream. It ends with exactly one call of
- * Finish, Fail or Abandon. */
+ * Finish, Fail, NoteFailure, NoteCancel or Abandon. */
 struct UpstreamLease {
   std::size_t m_shard = 0;
   route::RequestNumber m_request;
@@ -121,7 +121,7 @@
   /** @param tokens total of this attempt; called a few times a second */
   void NoteTokens(const UpstreamLease &lease, std::uint64_t tokens);
 
-  /** The answer is complete. */
+  /** The answer is complete. Ends all attempts of the request. */
   void Finish(const UpstreamLease &lease, std::uint64_t tokens);
 
   /**
@@ -136,7 +136,26 @@
                      std::uint64_t tokens, base::TimePoint deadline,
                      const CancelHook &set_cancel);
 
-  /** The request ended without an answer or another attempt. */
+  /**
+   * The attempt is silent. Starts another one beside it if the request may be
+   * sent again, the retry budget allows it and an upstream has a free slot.
+   */
+  std::optional<UpstreamLease> StartBackup(const UpstreamLease &lease);
+
+  /**
+   * The attempt failed, and another one of its request goes on.
+   * @param ran, tokens as for Fail
+   * @pre another attempt of the request runs
+   */
+  void NoteFailure(const UpstreamLease &lease, route::ExecutionState ran,
+                   std::uint64_t tokens);
+
+  /** The attempt was stopped. Another one of its request goes on, or the
+   * request is ended next. */
+  void NoteCancel(const UpstreamLease &lease);
+
+  /** The request ended without an answer or another attempt. Ends all attempts
+   * of the request. */
   void Abandon(const UpstreamLease &lease);
 
   /** Adds an upstream or replaces what is known of it. */
--- a/src/entry/entry_internal.h
+++ b/src/entry/entry_internal.h
@@ -86,6 +86,7 @@
   net::HttpClientPool m_pool;
   std::unordered_set<RequestScope *> m_active;
   std::size_t m_background_fibers = 0;  ///< fibers that outlive their request
+  std::size_t m_backup_fibers = 0;      ///< as above, of backups being opened
 };
 
 /** One request of a caller, from its arrival to its log line. */
@@ -176,6 +177,14 @@
                                            const UpstreamLease &lease,
                                            const AttemptFailure &failure);
 
+/**
+ * Starts another attempt beside a silent one, if that is possible now, and
+ * counts it.
+ * @param lease of the silent attempt
+ */
+std::optional<UpstreamLease> AcquireBackup(RequestScope *scope,
+                                           const UpstreamLease &lease);
+
 /** @return whole milliseconds left until the deadline, at least 0. */
 base::milliseconds RemainingTime(const RequestScope &scope);
 
@@ -184,8 +193,8 @@
  * too many such fibers run.
  * @pre called inside RunFiberThread
  */
-void CancelAtEngine(RequestScope *scope, const net::Endpoint &engine,
-                    const std::string &attempt_id);
+void CancelAtEngine(EntryShared *shared, EntryThread *thread,
+                    const net::Endpoint &engine, const std::string &attempt_id);
 
 /** Checks credentials and sets the customer. @return false if refused */
 bool Authenticate(RequestScope *scope);
--- a/src/entry/entry_server.cpp
+++ b/src/entry/entry_server.cpp
@@ -321,7 +321,10 @@
     is_stopped = true;
     caller_check.join();
     router_ticks.join();
-    while (thread.m_background_fibers > 0) net::SleepFor(kBackgroundPoll);
+    // A backup that ends may start a cancel message.
+    while (thread.m_backup_fibers + thread.m_background_fibers > 0) {
+      net::SleepFor(kBackgroundPoll);
+    }
     g_thread = nullptr;
   });
   --m_running_threads;
--- a/src/entry/request_scope.cpp
+++ b/src/entry/request_scope.cpp
@@ -277,17 +277,28 @@
   return TakeLease(scope, acquired, failure.m_detail);
 }
 
+std::optional<UpstreamLease> AcquireBackup(RequestScope *scope,
+                                           const UpstreamLease &lease) {
+  if (scope->m_shared->m_is_cut_off) return std::nullopt;
+  std::optional<UpstreamLease> backup =
+      scope->m_shared->m_dispatcher->StartBackup(lease);
+  if (!backup) return std::nullopt;
+  ++scope->m_attempts;
+  CountRetry(scope, RetryReason::kStalled);
+  return backup;
+}
+
 base::milliseconds RemainingTime(const RequestScope &scope) {
   base::Duration left = scope.m_deadline - base::Clock::now();
   if (left <= base::Duration::zero()) return base::milliseconds(0);
   return std::chrono::duration_cast<base::milliseconds>(left);
 }
 
-void CancelAtEngine(RequestScope *scope, const net::Endpoint &engine,
+void CancelAtEngine(EntryShared *shared, EntryThread *thread,
+                    const net::Endpoint &engine,
                     const std::string &attempt_id) {
-  EntryThread *thread = scope->m_thread;
   if (thread->m_background_fibers >= kMaxBackgroundFibers) return;
-  scope->m_shared->m_metrics.m_cancels.Increment();
+  shared->m_metrics.m_cancels.Increment();
   ++thread->m_background_fibers;
   boost::fibers::fiber([thread, engine, attempt_id] {
     json::object body;
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -140,7 +140,8 @@
   Upstream *avoided = nullptr;
   for (Upstream *upstream : candidates) {
     if (!HasFreeSlot(*upstream, now)) continue;
-    if (upstream->m_info.m_upstream == input.m_avoid) {
+    if (std::find(input.m_avoid.begin(), input.m_avoid.end(),
+                  upstream->m_info.m_upstream) != input.m_avoid.end()) {
       avoided = upstream;
       continue;
     }
--- a/src/route/choose_func.h
+++ b/src/route/choose_func.h
@@ -30,8 +30,9 @@
 struct ChooseInput {
   RequestLength m_length = RequestLength::kShort;
   std::uint64_t m_affinity = 0;  ///< hash of prompt prefix or session, 0: none
-  base::UpstreamId m_avoid;      ///< upstream that failed before, or invalid
-  bool m_must_avoid = false;     ///< never choose m_avoid, even without others
+  /** Upstreams that failed before or run an attempt of the request. */
+  std::vector<base::UpstreamId> m_avoid;
+  bool m_must_avoid = false;  ///< never choose one of them, even without others
 };
 
 /** @return how many requests this node may run at the upstream at a time. */
--- a/src/route/router_dispatch.cpp
+++ b/src/route/router_dispatch.cpp
@@ -140,10 +140,34 @@
   ChooseInput input;
   input.m_length = GetLength(router, request.m_size);
   input.m_affinity = request.m_info.m_affinity;
-  input.m_avoid = request.m_failed_upstream;
+  if (request.m_failed_upstream.IsValid()) {
+    input.m_avoid.push_back(request.m_failed_upstream);
+  }
+  return input;
+}
+
+/** @return the input for an attempt beside the running ones. */
+ChooseInput MakeChooseInputBeside(const Router &router,
+                                  const RoutedRequest &request) {
+  ChooseInput input;
+  input.m_length = GetLength(router, request.m_size);
+  for (AttemptNumber attempt : request.m_attempts) {
+    input.m_avoid.push_back(router.m_attempts.find(attempt)->second.m_upstream);
+  }
   return input;
 }
 
+/** @return whether a failed or silent attempt may be followed by another. */
+bool MayTryAgain(const Router &router, const RoutedRequest &request,
+                 ExecutionState ran, base::TimePoint now) {
+  const RequestInfo &info = request.m_info;
+  bool is_safe = ran == ExecutionState::kNotRun || info.m_is_repeatable;
+  if (request.m_delivered > 0) is_safe = info.m_may_resume;
+  return is_safe && now < info.m_deadline &&
+         request.m_attempts_made < router.m_options.m_max_attempts &&
+         router.m_pool_options.contains(info.m_deployment);
+}
+
 void UpdateShortMean(Pool *pool, base::TimePoint now) {
   EstimatedSeconds elapsed = now - pool->m_short_mean_at;
   pool->m_short_mean_at = now;
@@ -312,13 +336,7 @@
   RefusalReason reason = now >= info.m_deadline
                              ? RefusalReason::kUpstreamTimeout
                              : RefusalReason::kUpstreamFailed;
-  bool is_safe = ran == ExecutionState::kNotRun || info.m_is_repeatable;
-  if (request->m_delivered > 0) is_safe = info.m_may_resume;
-  bool may_try_again =
-      now < info.m_deadline &&
-      request->m_attempts_made < router->m_options.m_max_attempts;
-  auto options = router->m_pool_options.find(info.m_deployment);
-  if (!is_safe || !may_try_again || options == router->m_pool_options.end()) {
+  if (!MayTryAgain(*router, *request, ran, now)) {
     ++router->m_counters.m_retry_not_allowed;
     RefuseRequest(router, info.m_request, reason, kDefaultRetryAfter,
                   decisions);
@@ -332,8 +350,10 @@
   }
   ++router->m_counters.m_retries;
   // The queue limit was already checked when the request was admitted.
+  const PoolOptions &options =
+      router->m_pool_options.find(info.m_deployment)->second;
   QueueRequest(router, request,
-               MakeQueuedRequest(*router, *request, options->second, now));
+               MakeQueuedRequest(*router, *request, options, now));
 }
 
 void CancelOtherAttempts(Router *router, RequestNumber request,
@@ -353,10 +373,8 @@
   const Attempt &attempt = found->second;
   RoutedRequest &request = router->m_requests.find(attempt.m_request)->second;
   if (attempt.m_tokens > 0 || request.m_attempts.size() > 1) return;
-  ChooseInput input = MakeChooseInput(*router, request);
-  input.m_avoid = attempt.m_upstream;
+  ChooseInput input = MakeChooseInputBeside(*router, request);
   input.m_must_avoid = true;
-  input.m_affinity = 0;
   Upstream *upstream = ChooseInRegions(router, request, input, now);
   if (upstream == nullptr) return;
   if (!SpendBudget(&router->m_hedge_budget)) {
@@ -367,4 +385,36 @@
   StartAttempt(router, &request, upstream, true, now, decisions);
 }
 
+std::optional<StartDecision> StartBackup(Router *router, AttemptNumber number,
+                                         base::TimePoint now) {
+  auto found = router->m_attempts.find(number);
+  if (found == router->m_attempts.end()) return std::nullopt;
+  RoutedRequest &request =
+      router->m_requests.find(found->second.m_request)->second;
+  if (!MayTryAgain(*router, request, ExecutionState::kUnknown, now)) {
+    return std::nullopt;
+  }
+  ChooseInput input = MakeChooseInputBeside(*router, request);
+  bool is_only = request.m_attempts.size() == 1 &&
+                 FindCandidates(*router, request.m_info.m_target).size() == 1;
+  input.m_must_avoid = !is_only;
+  Upstream *upstream = ChooseInRegions(router, request, input, now);
+  if (upstream == nullptr) return std::nullopt;
+  if (!SpendBudget(&router->m_retry_budget)) {
+    ++router->m_counters.m_retry_budget_empty;
+    return std::nullopt;
+  }
+  ++router->m_counters.m_retries;
+  Decisions decisions;
+  StartAttempt(router, &request, upstream, /*is_hedge=*/true, now, &decisions);
+  return decisions.m_starts.front();
+}
+
+void OnCancelled(Router *router, AttemptNumber number, base::TimePoint now,
+                 Decisions *decisions) {
+  if (!router->m_attempts.contains(number)) return;
+  CancelAttempt(router, number, now, decisions);
+  DispatchAll(router, now, decisions);
+}
+
 }  // namespace wasabiwind::route
--- a/src/route/router_func.h
+++ b/src/route/router_func.h
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -267,6 +268,22 @@
 void OnFailed(Router *router, AttemptNumber attempt, ExecutionState ran,
               std::uint32_t tokens, base::TimePoint now, Decisions *decisions);
 
+/**
+ * Starts another attempt of a request whose attempt is silent, which runs on,
+ * since only an attempt that answers may replace it. Nothing is queued: without
+ * a free slot, a retry in the budget or an attempt left, nothing is started.
+ * The same upstream is chosen only if no other has the target; its connection
+ * alone may be lost.
+ * @param attempt the silent one
+ */
+std::optional<StartDecision> StartBackup(Router *router, AttemptNumber attempt,
+                                         base::TimePoint now);
+
+/** The program has stopped an attempt, because another one of its request goes
+ * on. It doesn't count as a failure of the upstream. */
+void OnCancelled(Router *router, AttemptNumber attempt, base::TimePoint now,
+                 Decisions *decisions);
+
 /** The caller has disconnected; running attempts are cancelled. */
 void OnCallerGone(Router *router, RequestNumber request, base::TimePoint now,
                   Decisions *decisions);
--- a/tests/entry.cmake
+++ b/tests/entry.cmake
@@ -1,6 +1,7 @@
 ww_add_test(entry_server_test ww_entry_lib)
 ww_add_test(entry_upstream_table_test ww_entry_lib)
 ww_add_test(entry_stream_test ww_entry_lib)
+ww_add_test(entry_silent_engine_test ww_entry_lib)
 ww_add_test(entry_once_test ww_entry_lib)
 add_executable(entry_parsers_fuzz ${CMAKE_SOURCE_DIR}/fuzz/entry_parsers_fuzz.cpp)
 target_link_libraries(entry_parsers_fuzz PRIVATE ww_entry_lib)
--- a/tests/route_router_test.cpp
+++ b/tests/route_router_test.cpp
@@ -174,6 +174,78 @@
   EXPECT_TRUE(m_router.m_requests.empty());
 }
 
+// Guards against a silent attempt that is left before another one answers, and
+// against silence that starts more attempts than the retry budget allows.
+TEST_F(RouterTest, SilentAttemptRunsOnBesideItsBackup) {
+  AddUpstream("r1", 4);
+  AddUpstream("r2", 4);
+  StartDecision first = Admit(MakeRequest()).m_starts.at(0);
+  std::optional<StartDecision> backup =
+      StartBackup(&m_router, first.m_attempt, m_now);
+  ASSERT_TRUE(backup);
+  EXPECT_EQ(backup->m_request, first.m_request);
+  EXPECT_NE(backup->m_upstream, first.m_upstream);
+  EXPECT_EQ(m_router.m_attempts.size(), 2u);
+  EXPECT_LT(m_router.m_retry_budget.m_credit, 1);
+  // The other upstream refuses: the request goes on without a refusal.
+  m_decisions = {};
+  OnFailed(&m_router, backup->m_attempt, ExecutionState::kNotRun, 0, m_now,
+           &m_decisions);
+  EXPECT_TRUE(m_decisions.m_refusals.empty() && m_decisions.m_starts.empty());
+  EXPECT_FALSE(StartBackup(&m_router, first.m_attempt, m_now));
+  EXPECT_GT(m_router.m_counters.m_retry_budget_empty, 0u);
+  EXPECT_TRUE(Finish(first.m_attempt, milliseconds(10)).m_refusals.empty());
+  EXPECT_TRUE(m_router.m_requests.empty() && m_router.m_attempts.empty());
+}
+
+// Guards against a second execution of a request that must not be repeated.
+TEST_F(RouterTest, SilentAttemptGetsABackupOnlyWhereItIsSafe) {
+  AddUpstream("r1", 4);
+  AddUpstream("r2", 4);
+  RequestInfo info = MakeRequest();
+  info.m_is_repeatable = false;
+  StartDecision once = Admit(info).m_starts.at(0);
+  EXPECT_FALSE(StartBackup(&m_router, once.m_attempt, m_now));
+  info = MakeRequest();
+  info.m_may_resume = false;
+  StartDecision begun = Admit(info).m_starts.at(0);
+  OnFirstToken(&m_router, begun.m_attempt, m_now, &m_decisions);
+  EXPECT_FALSE(StartBackup(&m_router, begun.m_attempt, m_now));
+  EXPECT_EQ(m_router.m_counters.m_retries, 0u);
+}
+
+// Guards against a backup that holds its slot or counts as a failure after the
+// silent attempt has gone on.
+TEST_F(RouterTest, CancelledBackupFreesItsSlot) {
+  AddUpstream("r1", 1);
+  AddUpstream("r2", 1);
+  StartDecision first = Admit(MakeRequest()).m_starts.at(0);
+  std::optional<StartDecision> backup =
+      StartBackup(&m_router, first.m_attempt, m_now);
+  ASSERT_TRUE(backup);
+  EXPECT_TRUE(Admit(MakeRequest()).m_starts.empty());
+  m_decisions = {};
+  OnCancelled(&m_router, backup->m_attempt, m_now, &m_decisions);
+  ASSERT_EQ(m_decisions.m_starts.size(), 1u);
+  EXPECT_EQ(m_decisions.m_starts[0].m_upstream, backup->m_upstream);
+  EXPECT_EQ(m_router.m_upstreams.at(backup->m_upstream)->m_failures, 0);
+}
+
+// Guards against backups at an upstream whose silent attempt still runs, except
+// for the only one, whose connection alone may be lost.
+TEST_F(RouterTest, SilentUpstreamIsChosenAgainOnlyWithoutAnother) {
+  m_router.m_retry_budget.m_credit = 10;
+  AddUpstream("r1", 20);
+  StartDecision first = Admit(MakeRequest()).m_starts.at(0);
+  EXPECT_TRUE(StartBackup(&m_router, first.m_attempt, m_now));
+  EXPECT_FALSE(StartBackup(&m_router, first.m_attempt, m_now));
+  StartDecision second = Admit(MakeRequest()).m_starts.at(0);
+  AddUpstream("r2", 1);
+  Upstream &other = *m_router.m_upstreams.at(base::UpstreamId("r2"));
+  while (other.m_in_flight == 0) Admit(MakeRequest());
+  EXPECT_FALSE(StartBackup(&m_router, second.m_attempt, m_now));
+}
+
 // Guards against both answers of a hedged request reaching the caller.
 TEST_F(RouterTest, HedgeWinnerCancelsTheOther) {
   AddUpstream("r1", 4);
