End a caller's stream before waiting for the end of the engine's body

Callers got [DONE] and the end of a stream up to stall_ms late (10 s by default) when an engine sent its last event and then kept its answer open.

Cause: the relay first read the rest of the body, so that the connection could be reused, and then wrote the end to the caller.

Change: the end goes to the caller first; the rest is waited for for 100 ms at most, after which the connection is closed.

--- a/src/entry/engine_relay.cpp
+++ b/src/entry/engine_relay.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t kDefaultMaxTokens = 512;
 /** Shortest time between two reports of tokens to routing. */
 constexpr base::milliseconds kProgressInterval{50};
+/** Wait for the end of a body after its last event; usually it is there. */
+constexpr base::milliseconds kBodyEndTimeout{100};
 /** How often the backups of a silent attempt are looked at. */
 constexpr base::milliseconds kBackupCheckInterval{50};
 /** Time until a backup is requested again after none could be started or one
@@ -74,7 +76,6 @@
   AttemptEnd FailRead(const base::Error &error, RetryReason reason);
   bool IsSilence(const base::Error &error) const;
   base::Duration StallTime() const;
-  base::TimePoint NextPartDeadline() const;
   std::uint64_t AttemptTokens() const;
 
   RequestScope *m_scope;
@@ -197,10 +198,6 @@
   return base::milliseconds(m_shared.m_settings.entry().stall_ms());
 }
 
-base::TimePoint EngineRelay::NextPartDeadline() const {
-  return std::min(m_scope->m_deadline, base::Clock::now() + StallTime());
-}
-
 /** @return how many tokens the caller has got from the present attempt. */
 std::uint64_t EngineRelay::AttemptTokens() const {
   return m_progress.m_tokens - m_tokens_before;
@@ -339,10 +336,12 @@
   while (true) {
     EventAction action = TakeEvents();
     if (action == EventAction::kDone) {
+      AttemptEnd finished = FinishStream();
       // Reads the end of the body, so that the connection can be reused.
       std::string rest;
-      (void)m_attempt.m_start.m_call->ReadSome(&rest, NextPartDeadline());
-      return FinishStream();
+      (void)m_attempt.m_start.m_call->ReadSome(
+          &rest, base::Clock::now() + kBodyEndTimeout);
+      return finished;
     }
     AttemptEnd written = WriteToCaller();
     if (written != AttemptEnd::kAnswered) return written;
--- a/tests/entry_silent_engine_test.cpp
+++ b/tests/entry_silent_engine_test.cpp
@@ -379,6 +379,33 @@
   });
 }
 
+/** Guards against an end that reaches the caller late, because the engine
+ * doesn't end its answer after the last event. */
+TEST(EntrySilentEngineTest, EndOfTheStreamDoesNotWaitForTheEngine) {
+  std::atomic<bool> is_over = false;
+  FakeUpstream engine([&](const auto &request, auto &exchange) {
+    if (!BeginEvents(exchange)) return;
+    for (std::uint64_t i = GetResumeIndex(request); i < kTokens; ++i) {
+      if (!exchange.WriteStream(MakeTokenEvent(i))) return;
+    }
+    if (!exchange.WriteStream("data: [DONE]\n\n")) return;
+    while (!is_over) net::SleepFor(kPollInterval);
+  });
+  net::RunFiberThread([&] {
+    EntryHarness entry("stall_ms = 3s\n");
+    entry.AnnounceEngine("e1", engine.Address());
+    base::TimePoint start = base::Clock::now();
+    // The second one uses the caller's connection again.
+    for (int i = 0; i < 2; ++i) {
+      EXPECT_EQ(entry.Chat("chat", true).m_body, ExpectedStream(kTokens));
+    }
+    EXPECT_LT(base::Clock::now() - start, milliseconds(1500));
+    is_over = true;
+    entry.CloseConnections();
+  });
+  is_over = true;
+}
+
 /** Guards against a stream without an end, and against an end before the
  * deadline, when no engine goes on. */
 TEST(EntrySilentEngineTest, StreamOfAHungEngineEndsAtItsDeadline) {
