Remove the hedge timer of an attempt that has ended

Cause: routing kept the timer of each attempt until it was due; ww_entry disables hedging by a wait of 24 h.

Change: the timer goes with its attempt.

--- a/src/route/router_dispatch.cpp
+++ b/src/route/router_dispatch.cpp
@@ -59,6 +59,7 @@
   base::Duration wait =
       std::max<base::Duration>(options.m_hedge_min, ToDuration(delay));
   router->m_hedge_timers.emplace(now + wait, attempt);
+  router->m_attempts.find(attempt)->second.m_hedge_at = now + wait;
 }
 
 void StartAttempt(Router *router, RoutedRequest *request, Upstream *upstream,
@@ -277,6 +278,7 @@
   auto found = router->m_attempts.find(number);
   Attempt attempt = found->second;
   router->m_attempts.erase(found);
+  router->m_hedge_timers.erase({attempt.m_hedge_at, number});
   RoutedRequest &request = router->m_requests.find(attempt.m_request)->second;
   std::erase(request.m_attempts, number);
   if (!attempt.m_is_deferrable) --FindPool(router, request).m_short_running;
--- a/src/route/router_func.h
+++ b/src/route/router_func.h
@@ -135,6 +135,7 @@
   base::Incarnation m_incarnation;
   base::TimePoint m_started_at;
   base::TimePoint m_progress_at;
+  base::TimePoint m_hedge_at;    ///< in m_hedge_timers, if it has a timer
   std::uint32_t m_tokens = 0;    ///< 0 until the first token
   bool m_is_deferrable = false;  ///< not counted in m_short_running
   bool m_is_hedge = false;
--- a/tests/route_router_test.cpp
+++ b/tests/route_router_test.cpp
@@ -246,6 +246,18 @@
   EXPECT_FALSE(StartBackup(&m_router, second.m_attempt, m_now));
 }
 
+// Guards against timers of ended attempts that stay until they are due, a day
+// later where hedging is disabled by a long wait.
+TEST_F(RouterTest, EndedAttemptsLeaveNoHedgeTimers) {
+  m_router.m_options.m_hedge_min = std::chrono::hours(24);
+  AddUpstream("r1", 4);
+  for (int i = 0; i < 1000; ++i) {
+    Decisions decisions = Admit(MakeRequest());
+    Finish(decisions.m_starts.at(0).m_attempt, milliseconds(10));
+  }
+  EXPECT_EQ(m_router.m_hedge_timers.size(), 0u);
+}
+
 // Guards against both answers of a hedged request reaching the caller.
 TEST_F(RouterTest, HedgeWinnerCancelsTheOther) {
   AddUpstream("r1", 4);
