Let runners stand still in the soak, which cuts requests

Callers saw running requests end with 502 after 0.4 s, or a stream cut after 1.2 s, when a sound runner was silent for a second or two. No check saw it: the soak had no such runner, and only lost connections counted as cut.

Cause: an entry host leaves a silent runner before it knows whether the retry budget pays for another attempt. The gateway isn't changed here.

"Planned work cuts nothing" also counts answers of 502 and 504 before 0.7 of the caller's timeout, and connections that ended before a frozen runner could read the request.

--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -142,6 +142,7 @@
   record->m_body = request.m_body;
   record->m_is_repeatable = kind.m_is_repeatable;
   record->m_is_stream = kind.m_needs_model;
+  record->m_timeout = request.m_caller_timeout;
   return request;
 }
 
--- a/soak/fake_runner.cpp
+++ b/soak/fake_runner.cpp
@@ -33,6 +33,9 @@
 constexpr milliseconds kRestartTime{1'500};
 /** That a runner asks for. */
 constexpr milliseconds kPause{1'500};
+/** From the end of a freeze to the next one. */
+constexpr milliseconds kMinAwakeTime{1'000};
+constexpr milliseconds kFrozenPollInterval{5};
 constexpr int kSlowFactor = 10;
 constexpr int kSlots = 32;
 
@@ -93,7 +96,7 @@
   boost::fibers::fiber link([this] { m_link.Serve(); });
   base::TimePoint next = Clock::now();
   while (!m_is_stopped) {
-    if (m_is_up && Clock::now() >= next) {
+    if (m_is_up && !m_is_frozen && Clock::now() >= next) {
       (void)Report(m_is_leaving ? gen::UPSTREAM_LEAVING : gen::UPSTREAM_READY);
       next = Clock::now() + kReportInterval;
     }
@@ -122,6 +125,26 @@
   }).detach();
 }
 
+void FakeRunner::Freeze(milliseconds duration) {
+  if (!m_is_up || m_is_leaving || m_is_frozen) return;
+  if (Clock::now() < m_may_freeze_at) return;
+  ++m_monitor->m_counts["freezes"];
+  LinkState &link = m_link.m_state;
+  m_is_frozen = true;
+  link.m_holds_forward_bytes = true;
+  link.m_holds_backward_bytes = true;
+  net::SleepFor(duration);
+  link.m_holds_forward_bytes = false;
+  link.m_holds_backward_bytes = false;
+  m_is_frozen = false;
+  m_may_freeze_at = Clock::now() + kMinAwakeTime;
+}
+
+void FakeRunner::SleepAwake(milliseconds time) const {
+  net::SleepFor(time);
+  while (m_is_frozen && !m_is_stopped) net::SleepFor(kFrozenPollInterval);
+}
+
 void FakeRunner::Leave(milliseconds drain) {
   if (!m_is_up || m_is_leaving) return;
   m_is_leaving = true;
@@ -211,6 +234,7 @@
 
 void FakeRunner::Handle(const net::HttpRequest &request,
                         net::HttpExchange &exchange) {
+  if (m_is_frozen) SleepAwake(kFrozenPollInterval);
   if (!m_is_up) {
     exchange.Abort();
     return;
@@ -245,7 +269,7 @@
   exchange.Abort();
   ++m_background_fibers;
   boost::fibers::fiber([this, order, incarnation] {
-    net::SleepFor(kOrderDelay);
+    SleepAwake(kOrderDelay);
     if (IsCurrentIncarnation(incarnation) && order.m_upstream == m_id)
       (void)ExecuteOrder(order);
     --m_background_fibers;
@@ -306,7 +330,7 @@
   m_models.erase(held);
   ++m_background_fibers;
   boost::fibers::fiber([this, incarnation = m_incarnation] {
-    net::SleepFor(kUnloadTime);
+    SleepAwake(kUnloadTime);
     if (IsCurrentIncarnation(incarnation)) {
       m_is_busy = false;
       (void)Report(gen::UPSTREAM_READY);
@@ -320,7 +344,7 @@
 void FakeRunner::ScheduleLoadEnd(const std::string &model, milliseconds time) {
   ++m_background_fibers;
   boost::fibers::fiber([this, model, time, incarnation = m_incarnation] {
-    net::SleepFor(time);
+    SleepAwake(time);
     if (IsCurrentIncarnation(incarnation)) {
       m_is_busy = false;
       m_models[model].m_is_loading = false;
@@ -374,8 +398,8 @@
   }
   std::uint64_t incarnation = m_incarnation;
   ++m_running_requests;
-  net::SleepFor(kPlainExecutionTime *
-                (m_injected_faults.m_is_slow ? kSlowFactor : 1));
+  SleepAwake(kPlainExecutionTime *
+             (m_injected_faults.m_is_slow ? kSlowFactor : 1));
   if (!IsCurrentIncarnation(incarnation) || m_injected_faults.m_loses_answers) {
     exchange.Abort();
   } else if (is_crashing && !m_is_leaving) {
@@ -421,8 +445,8 @@
     }
     std::string text = Monitor::MakeEvent(forwarded.m_id, event);
     if (!exchange.WriteStream(text)) return;
-    net::SleepFor(kEventInterval *
-                  (m_injected_faults.m_is_slow ? kSlowFactor : 1));
+    SleepAwake(kEventInterval *
+               (m_injected_faults.m_is_slow ? kSlowFactor : 1));
   }
   (void)exchange.EndStream();
 }
--- a/soak/fake_runner.h
+++ b/soak/fake_runner.h
@@ -61,6 +61,13 @@
   /** As Leave, but only answers say so; nothing is reported. */
   void LeaveSilently(base::milliseconds drain);
 
+  /**
+   * Sends nothing and takes no step for a time, as a process that is stopped,
+   * then goes on. Connections stay open, and nothing is lost. No effect while
+   * it is down, leaving or frozen, or shortly after.
+   */
+  void Freeze(base::milliseconds duration);
+
   LinkProxy &GetLink() { return m_link; }
   InjectedFaults m_injected_faults;
 
@@ -71,6 +78,8 @@
   };
 
   void StartIncarnation();
+  /** Sleeps; doesn't return while the runner is frozen. */
+  void SleepAwake(base::milliseconds time) const;
   void Handle(const net::HttpRequest &request, net::HttpExchange &exchange);
   void HandleRequest(const net::HttpRequest &request,
                      net::HttpExchange &exchange);
@@ -115,6 +124,8 @@
   bool m_is_leaving = false;
   bool m_says_leaving = false;  ///< in its answers
   bool m_is_stopped = false;
+  bool m_is_frozen = false;
+  base::TimePoint m_may_freeze_at;
   int m_background_fibers = 0;  ///< fibers that still use this object
 };
 
--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -21,6 +21,9 @@
 constexpr const char *kMovingServicePrefix = "desk-";
 /** Added to time limits for delays within this process. */
 constexpr base::milliseconds kTimeMargin{250};
+/** An answer of 502 or 504 is early before this share of the caller's timeout.
+ */
+constexpr double kEarlyFailureShare = 0.7;
 constexpr std::size_t kMaxLoggedViolations = 50;
 
 bool IsGuaranteedNotRun(int status) {
@@ -180,6 +183,7 @@
   }
   RequestRecord &record = found->second;
   CheckForwardedRequest(record, forwarded, request);
+  record.m_has_arrived = true;
   record.m_signatures.push_back(signature);
   if (!record.m_is_repeatable && record.m_signatures.size() > 1) {
     ReportViolation("at most once",
@@ -249,6 +253,15 @@
                   record.m_entry, newest, required));
 }
 
+/** @return whether a status says that the entry host gave up a request that
+ * may have run, well before its caller would. */
+bool Monitor::IsEarlyFailure(const RequestRecord &record, int status) const {
+  if (status != 502 && status != 504) return false;
+  auto early_time = std::chrono::duration_cast<base::Duration>(
+      record.m_timeout * kEarlyFailureShare);
+  return Clock::now() < record.m_sent_at + early_time;
+}
+
 void Monitor::RecordResponse(const std::string &id,
                              const net::HttpResponse &answer,
                              const std::string &signature) {
@@ -271,6 +284,11 @@
     }
     return;
   }
+  if (IsEarlyFailure(record, answer.m_status)) {
+    // These statuses say that an upstream may have got it.
+    record.m_has_arrived = true;
+    RecordFailure(id, fmt::format("got status {}", answer.m_status));
+  }
   if (!IsGuaranteedNotRun(answer.m_status)) return;
   record.m_is_refused = true;
   if (!record.m_is_repeatable && !record.m_signatures.empty()) {
@@ -282,21 +300,35 @@
 
 void Monitor::RecordLostConnection(const std::string &id) {
   ++m_counts["cut"];
-  const RequestRecord &record = m_requests.at(id);
+  RecordFailure(id, "lost its connection");
+}
+
+/** Checks that a request didn't fail beside nothing but planned work. */
+void Monitor::RecordFailure(const std::string &id, const std::string &failure) {
+  RequestRecord &record = m_requests.at(id);
   TimePoint now = Clock::now();
-  // Not a violation if no upstream ran the request: the entry host may have
-  // closed an idle connection while the request was on its way.
-  if (record.m_signatures.empty()) return;
   bool is_checked =
       IsEntryUndisturbed(record.m_entry,
                          record.m_sent_at - m_bounds.m_recovery_time, now) &&
       IsUndisturbed(m_upstream_disturbances,
                     record.m_sent_at - m_bounds.m_recovery_time, now);
   if (!is_checked) return;
-  ReportViolation(
-      "planned work cuts nothing",
-      fmt::format("request {} on {} at entry host {} lost its connection", id,
-                  record.m_path, record.m_entry));
+  record.m_failure_before_arrival = fmt::format(
+      "request {} on {} at entry host {} {} after {} ms", id, record.m_path,
+      record.m_entry, failure, base::ToMilliseconds(now - record.m_sent_at));
+  if (record.m_has_arrived) ReportArrivalAfterFailure(&record);
+}
+
+/**
+ * A failure isn't a violation if no upstream gets the request: the entry host
+ * may have closed an idle connection while the request was on its way. A frozen
+ * upstream gets it later.
+ */
+void Monitor::ReportArrivalAfterFailure(RequestRecord *record) {
+  if (record->m_failure_before_arrival.empty()) return;
+  ReportViolation("planned work cuts nothing",
+                  record->m_failure_before_arrival);
+  record->m_failure_before_arrival.clear();
 }
 
 void Monitor::RecordLeaving(const std::string &upstream, TimePoint at) {
@@ -327,7 +359,9 @@
                             const std::string &id) {
   auto request = m_requests.find(id);
   if (request == m_requests.end()) return;
-  const RequestRecord &record = request->second;
+  RequestRecord &record = request->second;
+  record.m_has_arrived = true;
+  ReportArrivalAfterFailure(&record);
   TimePoint now = Clock::now();
   EntryAndUpstream key{record.m_entry, upstream};
   auto is_excused = [&](TimePoint from) {
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -47,10 +47,14 @@
   bool m_is_stream = false;
   int m_entry = 0;
   base::TimePoint m_sent_at;
+  base::milliseconds m_timeout{0};  ///< of the caller
   /** The entry host used this version, or a newer one, when it was sent. */
   std::uint64_t m_min_version = 0;
   std::vector<std::string> m_signatures;  ///< of the upstreams that ran it
-  bool m_is_refused = false;  ///< with a status that says it never runs
+  bool m_is_refused = false;   ///< with a status that says it never runs
+  bool m_has_arrived = false;  ///< at any upstream
+  /** How it failed beside planned work before it arrived at any upstream. */
+  std::string m_failure_before_arrival;
 };
 
 /**
@@ -187,6 +191,9 @@
   void CheckForwardedRequest(const RequestRecord &record,
                              const ForwardedRequest &forwarded,
                              const net::HttpRequest &request);
+  bool IsEarlyFailure(const RequestRecord &record, int status) const;
+  void RecordFailure(const std::string &id, const std::string &failure);
+  void ReportArrivalAfterFailure(RequestRecord *record);
 
   SoakBounds m_bounds;
   std::vector<EntryState> m_entries;
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -29,9 +29,11 @@
 /** A control host that lost its disk has recovered after this. */
 constexpr milliseconds kDiskReplacementTime{6'000};
 constexpr std::uint64_t kTargetNumberLimit = 1'000;
-/** Of three seeds, one starts with a series of changes and one with prompts
- * that crash runners. */
-constexpr std::uint64_t kFirstPhases = 3;
+constexpr milliseconds kFirstPhaseStart{1'000};
+constexpr milliseconds kFirstPhaseDuration{12'000};
+/** Runners of desk-0 in seeds whose first phase needs a choice of upstreams for
+ * plain requests. */
+constexpr int kDeskRunners = 3;
 
 struct FaultProperties {
   FaultKind m_kind;
@@ -96,6 +98,8 @@
          milliseconds(0), false},
         {FaultKind::kLeaveRunner, "leave_runner", 0, milliseconds(0),
          milliseconds(0), false},
+        {FaultKind::kFreezeRunner, "freeze_runner", 0, milliseconds(1'000),
+         milliseconds(2'200), false},
     }};
 
 const FaultProperties &GetProperties(FaultKind kind) {
@@ -189,21 +193,19 @@
  * @return the end of the series
  */
 milliseconds AddSeriesOfChanges(Random *random, SoakPlan *plan) {
-  constexpr milliseconds kStart{1'000};
-  constexpr milliseconds kSeriesDuration{12'000};
   constexpr milliseconds kChangeGap{150};
   PlannedFault fault;
-  fault.m_at = kStart;
+  fault.m_at = kFirstPhaseStart;
   fault.m_kind = FaultKind::kFillDisk;
   fault.m_target =
       static_cast<std::uint32_t>(NextRandomBelow(random, kTargetNumberLimit));
-  fault.m_duration = kSeriesDuration;
+  fault.m_duration = kFirstPhaseDuration;
   plan->m_faults.push_back(fault);
   PlannedChange change;
-  change.m_at = kStart + kChangeGap;
+  change.m_at = kFirstPhaseStart + kChangeGap;
   plan->m_changes.push_back(change);
   change.m_keeps_route = true;
-  while (change.m_at < kStart + kSeriesDuration) {
+  while (change.m_at < kFirstPhaseStart + kFirstPhaseDuration) {
     change.m_at += kChangeGap;
     plan->m_changes.push_back(change);
   }
@@ -213,13 +215,40 @@
 /** Some prompts crash runners, without other faults. @return the end */
 milliseconds AddCrashingPrompts(SoakPlan *plan) {
   PlannedFault fault;
-  fault.m_at = milliseconds(1'000);
+  fault.m_at = kFirstPhaseStart;
   fault.m_kind = FaultKind::kCrashingPrompts;
-  fault.m_duration = milliseconds(12'000);
+  fault.m_duration = kFirstPhaseDuration;
   plan->m_faults.push_back(fault);
   return fault.m_at + fault.m_duration;
 }
 
+/**
+ * Runners fall silent for a while, some of them at the same time, beside
+ * changes of the route table. @return the end
+ */
+milliseconds AddFrozenRunners(Random *random, SoakPlan *plan) {
+  constexpr milliseconds kMinGap{300};
+  constexpr milliseconds kMaxGap{900};
+  // Each of the few entry hosts gets about the part that it has among 24.
+  constexpr double kRetrySlack = 12;
+  plan->m_desk_runners = kDeskRunners;
+  plan->m_retry_slack = kRetrySlack;
+  const FaultProperties &properties = GetProperties(FaultKind::kFreezeRunner);
+  milliseconds end = kFirstPhaseStart + kFirstPhaseDuration;
+  PlannedFault fault;
+  fault.m_kind = FaultKind::kFreezeRunner;
+  fault.m_at = kFirstPhaseStart;
+  while (fault.m_at + properties.m_max_duration <= end) {
+    fault.m_target =
+        static_cast<std::uint32_t>(NextRandomBelow(random, kTargetNumberLimit));
+    fault.m_duration = ChooseDuration(random, properties.m_min_duration,
+                                      properties.m_max_duration);
+    plan->m_faults.push_back(fault);
+    fault.m_at += ChooseDuration(random, kMinGap, kMaxGap);
+  }
+  return end;
+}
+
 void AddChanges(Random *random, milliseconds from, SoakPlan *plan) {
   constexpr double kMeanChangeGapMs = 1'500;
   milliseconds at = from;
@@ -234,6 +263,36 @@
   }
 }
 
+enum class FirstPhase : std::uint8_t {
+  kNone,
+  kSeriesOfChanges,
+  kCrashingPrompts,
+  kFrozenRunners,
+};
+
+/** @return the phase of one kind with which a seed starts. */
+FirstPhase GetFirstPhase(std::uint64_t seed) {
+  if (seed % 3 == 1) return FirstPhase::kSeriesOfChanges;
+  if (seed % 3 == 2) return FirstPhase::kCrashingPrompts;
+  if (seed % 12 == 3) return FirstPhase::kFrozenRunners;
+  return FirstPhase::kNone;
+}
+
+/** Adds the first phase of a seed. @return its end, or 0 without one */
+milliseconds AddFirstPhase(Random *random, SoakPlan *plan) {
+  switch (GetFirstPhase(plan->m_seed)) {
+    case FirstPhase::kSeriesOfChanges:
+      return AddSeriesOfChanges(random, plan);
+    case FirstPhase::kCrashingPrompts:
+      return AddCrashingPrompts(plan);
+    case FirstPhase::kFrozenRunners:
+      return AddFrozenRunners(random, plan);
+    case FirstPhase::kNone:
+      break;
+  }
+  return milliseconds(0);
+}
+
 }  // namespace
 
 SoakPlan MakePlan(std::uint64_t seed, base::milliseconds duration) {
@@ -243,12 +302,9 @@
   plan.m_duration = duration;
   milliseconds at(500);
   milliseconds changes_from(200);
-  if (seed % kFirstPhases == 1) {
-    changes_from = AddSeriesOfChanges(&random, &plan) + milliseconds(200);
-    at = changes_from;
-  } else if (seed % kFirstPhases == 2) {
-    at = AddCrashingPrompts(&plan) + milliseconds(200);
-  }
+  milliseconds first_phase_end = AddFirstPhase(&random, &plan);
+  if (first_phase_end.count() > 0) at = first_phase_end + milliseconds(200);
+  if (GetFirstPhase(seed) == FirstPhase::kSeriesOfChanges) changes_from = at;
   // The first phase is added to the duration, so that the others are as long
   // and as varied with it as without.
   plan.m_duration = at + duration;
--- a/soak/plan_type.h
+++ b/soak/plan_type.h
@@ -38,6 +38,7 @@
   kPauseRunner,        ///< planned work: a runner refuses and asks for pauses
   kLeaveSilently,  ///< planned work: only its answers say that a runner leaves
   kLeaveRunner,    ///< planned work: a runner reports leaving, then restarts
+  kFreezeRunner,   ///< planned work: a runner is silent, then goes on
   kEnd,
 };
 
@@ -61,6 +62,9 @@
 struct SoakPlan {
   std::uint64_t m_seed = 0;
   base::milliseconds m_duration{0};
+  int m_desk_runners = 1;  ///< of service desk-0, which has no models
+  /** Setting retry_slack of the programs. */
+  double m_retry_slack = 50;
   std::vector<PlannedFault> m_faults;    ///< by time
   std::vector<PlannedChange> m_changes;  ///< by time
 };
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -123,28 +123,39 @@
   }
 }
 
+void SoakRun::AddRunner(const std::string &service,
+                        std::vector<std::string> first_models) {
+  int number = static_cast<int>(m_runners.size());
+  FakeRunnerOptions options;
+  options.m_service = service;
+  options.m_name = fmt::format("u{}", number);
+  options.m_domain = GetDomain(number);
+  std::string ip = MakeIp(kFirstRunnerIp + number);
+  options.m_listen = {ip, kRunnerListenPort};
+  options.m_reported_endpoint = {ip, kRunnerPort};
+  options.m_control_endpoints = m_addresses.m_control_endpoints;
+  options.m_model_mb = kModelMb;
+  options.m_seed = m_options.m_plan.m_seed + static_cast<std::uint64_t>(number);
+  options.m_first_models = std::move(first_models);
+  m_runners.push_back(
+      std::make_unique<FakeRunner>(std::move(options), m_protocol, &m_monitor));
+}
+
 void SoakRun::MakeRunners() {
-  int moving_services = static_cast<int>(Monitor::kMovingServices);
-  for (int i = 0; i < m_options.m_runners + moving_services; ++i) {
-    FakeRunnerOptions options;
-    bool is_moving_service = i < moving_services;
-    options.m_service =
-        is_moving_service ? fmt::format("desk-{}", i) : "engines";
-    options.m_name = fmt::format("u{}", i);
-    options.m_domain = GetDomain(i);
-    std::string ip = MakeIp(kFirstRunnerIp + i);
-    options.m_listen = {ip, kRunnerListenPort};
-    options.m_reported_endpoint = {ip, kRunnerPort};
-    options.m_control_endpoints = m_addresses.m_control_endpoints;
-    options.m_model_mb = kModelMb;
-    options.m_seed = m_options.m_plan.m_seed + static_cast<std::uint64_t>(i);
-    int first = (i - moving_services) * kFirstModelsPerRunner;
-    for (int k = 0; !is_moving_service && k < kFirstModelsPerRunner; ++k) {
-      options.m_first_models.push_back(
-          m_models[static_cast<std::size_t>(first + k) % m_models.size()]);
+  for (std::uint64_t i = 0; i < Monitor::kMovingServices; ++i) {
+    AddRunner(fmt::format("desk-{}", i), {});
+  }
+  for (int i = 0; i < m_options.m_runners; ++i) {
+    std::vector<std::string> first_models;
+    for (int k = 0; k < kFirstModelsPerRunner; ++k) {
+      int number = i * kFirstModelsPerRunner + k;
+      first_models.push_back(
+          m_models[static_cast<std::size_t>(number) % m_models.size()]);
     }
-    m_runners.push_back(std::make_unique<FakeRunner>(std::move(options),
-                                                     m_protocol, &m_monitor));
+    AddRunner("engines", std::move(first_models));
+  }
+  for (int i = 1; i < m_options.m_plan.m_desk_runners; ++i) {
+    AddRunner("desk-0", {});
   }
 }
 
@@ -177,7 +188,8 @@
        << "\nmessage_port = " << kMessagePort << "\ncontrol_hosts = " << hosts
        << "\ndomains = " << domains
        << "\n[bounds]\nheartbeat_ms = 1000ms\ngrace_ms = "
-       << kShutdownGrace.count() << "ms\n";
+       << kShutdownGrace.count()
+       << "ms\nretry_slack = " << m_options.m_plan.m_retry_slack << "\n";
   if (host.m_is_entry) {
     file << "[callers]\nlisten = " << host.m_ip << ":" << kCallersPort
          << "\ndirectory = " << host.m_ip << ":" << kDirectoryPort
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -22,7 +22,7 @@
   std::string m_folder;  ///< for settings, logs and data folders
   int m_entries = 4;
   int m_controls = 3;
-  int m_runners = 6;  ///< in addition to those of moving services
+  int m_runners = 6;  ///< with models; those of services come in addition
   int m_callers = 16;
   int m_models = 14;
   SoakPlan m_plan;
@@ -62,6 +62,8 @@
 
   void MakeHosts();
   void MakeRunners();
+  void AddRunner(const std::string &service,
+                 std::vector<std::string> first_models);
   std::string MakeIp(int number) const;
   void WriteSettings(const Host &host, bool is_first_start) const;
   base::Result<void> Start(Host *host, bool is_first_start);
--- a/soak/soak_run_faults.cpp
+++ b/soak/soak_run_faults.cpp
@@ -73,6 +73,7 @@
     case FaultKind::kPauseRunner:
     case FaultKind::kLeaveSilently:
     case FaultKind::kLeaveRunner:
+    case FaultKind::kFreezeRunner:
       InjectRunnerFault(fault);
       return;
     default:
@@ -154,7 +155,8 @@
   FakeRunner *runner = GetRunner(fault.m_target);
   bool is_planned = fault.m_kind == FaultKind::kLeaveRunner ||
                     fault.m_kind == FaultKind::kPauseRunner ||
-                    fault.m_kind == FaultKind::kLeaveSilently;
+                    fault.m_kind == FaultKind::kLeaveSilently ||
+                    fault.m_kind == FaultKind::kFreezeRunner;
   if (!is_planned) {
     m_monitor.RecordUpstreamDisturbance(Clock::now() + fault.m_duration);
   }
@@ -194,6 +196,9 @@
     case FaultKind::kLeaveSilently:
       runner->LeaveSilently(kDrainTime);
       return;
+    case FaultKind::kFreezeRunner:
+      runner->Freeze(fault.m_duration);
+      return;
     case FaultKind::kPauseRunner:
       flag = &injected_faults.m_asks_for_pause;
       break;
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -2,12 +2,16 @@
  * violations of each guarantee. */
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
+#include <boost/fiber/fiber.hpp>
 #include <thread>
 
+#include "net/fiber_scheduler.h"
 #include "platform/control_protocol_func.h"
 #include "platform/soak_protocol_func.h"
 #include "soak/client.h"
+#include "soak/fake_runner.h"
 #include "soak/monitor.h"
 #include "soak/plan_func.h"
 
@@ -63,6 +67,40 @@
   }
 }
 
+// The seeds that CI runs keep the phases for which they were chosen.
+TEST(SoakPlanTest, KnownSeedsKeepTheirFirstPhase) {
+  auto get_first_fault = [](std::uint64_t seed) {
+    return MakePlan(seed, milliseconds(18'000)).m_faults.front();
+  };
+  milliseconds start(1'000);
+  for (std::uint64_t seed : {1, 4}) {
+    EXPECT_EQ(get_first_fault(seed).m_kind, FaultKind::kFillDisk) << seed;
+    EXPECT_EQ(get_first_fault(seed).m_at, start) << seed;
+  }
+  EXPECT_EQ(get_first_fault(2).m_kind, FaultKind::kCrashingPrompts);
+  EXPECT_EQ(get_first_fault(3).m_kind, FaultKind::kFreezeRunner);
+  EXPECT_EQ(get_first_fault(8004).m_at, milliseconds(500));
+}
+
+// A runner that is silent beside other faults shows nothing about planned work.
+TEST(SoakPlanTest, RunnersFreezeBesideChangesOnly) {
+  SoakPlan plan = MakePlan(3, milliseconds(18'000));
+  int freezes = 0;
+  milliseconds end(0);
+  for (const PlannedFault &fault : plan.m_faults) {
+    if (fault.m_kind != FaultKind::kFreezeRunner) {
+      EXPECT_GT(fault.m_at, end);
+      continue;
+    }
+    ++freezes;
+    EXPECT_GE(fault.m_duration, milliseconds(1'000));
+    EXPECT_LE(fault.m_duration, milliseconds(2'200));
+    end = std::max(end, fault.m_at + fault.m_duration);
+  }
+  EXPECT_GT(freezes, 10);
+  EXPECT_LT(plan.m_changes.front().m_at, end);
+}
+
 /** A monitor with short bounds and one entry host. */
 class MonitorTest : public testing::Test {
  protected:
@@ -90,6 +128,15 @@
     m_monitor.RecordRequest(id, record);
   }
 
+  void SendWithTimeout(const std::string &id, milliseconds timeout) {
+    RequestRecord record;
+    record.m_path = "/safe/";
+    record.m_is_repeatable = true;
+    record.m_sent_at = base::Clock::now();
+    record.m_timeout = timeout;
+    m_monitor.RecordRequest(id, record);
+  }
+
   void RunAt(const std::string &id, const std::string &path,
              const std::string &service, const std::string &body = "body") {
     net::HttpRequest request;
@@ -353,6 +400,89 @@
   EXPECT_EQ(GetViolatedGuarantees(), "planned work cuts nothing;");
 }
 
+// An entry host gave up a request at a silent runner, though its caller waited.
+TEST_F(MonitorTest, CatchesAnEarlyFailureInPlannedWork) {
+  SendWithTimeout("r", milliseconds(5'000));
+  Answer("r", 502, "", "");
+  SendWithTimeout("q", milliseconds(5'000));
+  Answer("q", 504, "", "");
+  EXPECT_EQ(GetViolatedGuarantees(),
+            "planned work cuts nothing;planned work cuts nothing;");
+}
+
+TEST_F(MonitorTest, IgnoresFailuresNearTheDeadlineOrBesideFaults) {
+  SendWithTimeout("late", milliseconds(100));
+  Pause(80);
+  Answer("late", 504, "", "");
+  SendWithTimeout("refused", milliseconds(5'000));
+  Answer("refused", 503, "", "");
+  m_monitor.RecordUpstreamDisturbance(base::Clock::now());
+  SendWithTimeout("disturbed", milliseconds(5'000));
+  Answer("disturbed", 502, "", "");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+}
+
+// The runner stood still when the connection ended, and read the request later.
+TEST_F(MonitorTest, CatchesALostConnectionOfARequestAtAFrozenRunner) {
+  Send("r", "/safe/", true);
+  Send("idle", "/safe/", true);
+  m_monitor.RecordLostConnection("r");
+  m_monitor.RecordLostConnection("idle");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  m_monitor.RecordArrival("u1", "r");
+  m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "planned work cuts nothing;");
+}
+
+/** A runner of service desk-0 without control hosts. */
+FakeRunnerOptions MakeRunnerOptions() {
+  std::string ip = "127.29.1." + std::to_string(1 + ::getpid() % 250);
+  FakeRunnerOptions options;
+  options.m_name = "u0";
+  options.m_service = "desk-0";
+  options.m_listen = {ip, 18'210};
+  options.m_reported_endpoint = {ip, 18'200};
+  options.m_control_endpoints = {{ip, 18'144}};
+  return options;
+}
+
+// A runner that is only silent must lose neither requests nor connections.
+TEST(FakeRunnerTest, FrozenRunnerGoesOnWithTheSameRequest) {
+  constexpr milliseconds kFreeze{300};
+  SoakProtocol protocol = platform::MakeSoakProtocol();
+  Monitor monitor(SoakBounds(), 1);
+  FakeRunnerOptions options = MakeRunnerOptions();
+  CallerRequest request;
+  request.m_id = "r";
+  request.m_path = "/once/";
+  RequestRecord record;
+  record.m_path = request.m_path;
+  monitor.RecordRequest(request.m_id, record);
+  net::RunFiberThread([&] {
+    FakeRunner runner(options, &protocol, &monitor);
+    ASSERT_TRUE(runner.Listen());
+    boost::fibers::fiber run([&] { runner.Run(); });
+    net::SleepFor(milliseconds(20));
+    net::HttpClientPool client;
+    base::TimePoint start = base::Clock::now();
+    boost::fibers::fiber freeze([&] { runner.Freeze(kFreeze); });
+    net::SleepFor(milliseconds(20));
+    auto answer = client.Fetch(options.m_reported_endpoint,
+                               protocol.m_encode_request(request),
+                               start + milliseconds(5'000));
+    EXPECT_GE(base::Clock::now() - start, kFreeze);
+    EXPECT_TRUE(answer && answer->m_status == 200);
+    freeze.join();
+    // Not at once again, so that no silence is longer than planned.
+    start = base::Clock::now();
+    runner.Freeze(kFreeze);
+    EXPECT_LT(base::Clock::now() - start, kFreeze);
+    runner.Stop();
+    run.join();
+  });
+  EXPECT_TRUE(monitor.GetViolations().empty());
+}
+
 // Control hosts must decode the same table that the soak's operator encodes.
 TEST(SoakProtocolTest, DecodedTableEqualsEncodedTable) {
   SoakProtocol soak = platform::MakeSoakProtocol();
