Send crashing requests again and again in the soak

Operators saw one request that came again, with the same path, caller and body, crash runner after runner. No check saw it: prompts that crash runners have a part that is bad in itself, while here sound requests share all parts.

Cause: the quarantine knows prompt parts only, and none of plain requests. The programs aren't changed here.

The guarantee "crashing requests" allows three arrivals later than 4 s after the third crash; "wrong quarantine" allows sound requests, also those under which runners crash for other reasons, to be refused as quarantined for 2 s.

--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -74,6 +74,61 @@
 
 }  // namespace
 
+void FillRequest(const std::string &path, const std::string &body,
+                 const std::string &model,
+                 std::vector<std::string> prompt_parts, CallerRequest *request,
+                 RequestRecord *record) {
+  const RequestKind &kind = *std::find_if(
+      kRequestKinds.begin(), kRequestKinds.end(),
+      [&path](const RequestKind &item) { return item.m_path == path; });
+  request->m_host = kRouteHost;
+  request->m_path = path;
+  request->m_body = body;
+  request->m_caller_timeout = kPlainCallerTimeout;
+  if (kind.m_needs_model) {
+    request->m_model = model;
+    request->m_prompt_tokens = kPromptTokens;
+    request->m_prompt_parts = std::move(prompt_parts);
+    request->m_output_tokens = kOutputTokens;
+    request->m_caller_timeout = kStreamCallerTimeout;
+  }
+  record->m_path = request->m_path;
+  record->m_model = request->m_model;
+  record->m_body = request->m_body;
+  record->m_is_repeatable = kind.m_is_repeatable;
+  record->m_is_stream = kind.m_needs_model;
+  record->m_timeout = request->m_caller_timeout;
+}
+
+ExchangeOutcome ExchangeRequest(const ExchangeOptions &options,
+                                const CallerRequest &request,
+                                net::HttpClientPool *client,
+                                const SoakProtocol &protocol,
+                                Monitor *monitor) {
+  TimePoint deadline = Clock::now() + options.m_wait;
+  auto start =
+      client->Start(options.m_entry, protocol.m_encode_request(request),
+                    deadline, options.m_reuse);
+  if (start.m_call == nullptr) return ExchangeOutcome::kNoConnection;
+  base::Result<net::HttpResponse> answer = start.m_call->ReadHead(deadline);
+  while (answer) {
+    base::Result<bool> more = start.m_call->ReadSome(&answer->m_body, deadline);
+    if (!more) answer = tl::unexpected(more.error());
+    if (!more || !*more) break;
+  }
+  if (!answer) {
+    bool is_connection_lost =
+        answer.error().m_kind != base::ErrorKind::kTimeout;
+    if (is_connection_lost) monitor->RecordLostConnection(request.m_id);
+    return ExchangeOutcome::kNoAnswer;
+  }
+  monitor->RecordResponse(request.m_id, *answer,
+                          protocol.m_get_signature(*answer),
+                          protocol.m_get_refusal_reason(*answer));
+  return answer->m_status == 200 ? ExchangeOutcome::kServed
+                                 : ExchangeOutcome::kFailed;
+}
+
 Caller::Caller(CallerOptions options, const Addresses *addresses,
                const SoakProtocol *protocol, Monitor *monitor)
     : m_options(std::move(options)),
@@ -118,31 +173,21 @@
       kRequestKinds[NextRandomBelow(&m_random, kRequestKinds.size())];
   CallerRequest request;
   request.m_id = fmt::format("c{}-{}", m_options.m_number, ++m_sent);
-  request.m_host = kRouteHost;
-  request.m_path = kind.m_path;
-  request.m_body = "body of " + request.m_id;
-  request.m_caller_timeout = kPlainCallerTimeout;
+  std::string model;
+  std::vector<std::string> prompt_parts = {"a1", "b2", "c3", request.m_id};
   if (kind.m_needs_model) {
     // Squaring makes the first models more likely.
     double unit = NextRandomUnit(&m_random);
     auto number = static_cast<std::size_t>(
         unit * unit * static_cast<double>(m_options.m_models.size()));
-    request.m_model = m_options.m_models[number];
-    request.m_prompt_tokens = kPromptTokens;
-    request.m_prompt_parts = {"a1", "b2", "c3", request.m_id};
-    bool is_crashing =
+    model = m_options.m_models[number];
+    record->m_has_crashing_part =
         m_monitor->m_sends_crashing_prompts &&
         NextRandomBelow(&m_random, kPromptsPerCrashingPrompt) == 0;
-    if (is_crashing) request.m_prompt_parts[1] = Monitor::kCrashingPart;
-    request.m_output_tokens = kOutputTokens;
-    request.m_caller_timeout = kStreamCallerTimeout;
+    if (record->m_has_crashing_part) prompt_parts[1] = Monitor::kCrashingPart;
   }
-  record->m_path = request.m_path;
-  record->m_model = request.m_model;
-  record->m_body = request.m_body;
-  record->m_is_repeatable = kind.m_is_repeatable;
-  record->m_is_stream = kind.m_needs_model;
-  record->m_timeout = request.m_caller_timeout;
+  FillRequest(kind.m_path, "body of " + request.m_id, model,
+              std::move(prompt_parts), &request, record);
   return request;
 }
 
@@ -152,44 +197,34 @@
   record.m_entry = ChooseEntry();
   if (record.m_entry < 0) return;
   record.m_sent_at = Clock::now();
-  const net::Endpoint &entry =
+  ExchangeOptions options;
+  options.m_entry =
       m_addresses->m_caller_endpoints[static_cast<std::size_t>(record.m_entry)];
   bool is_new_connection =
       NextRandomBelow(&m_random, kRequestsPerNewConnection) == 0;
+  if (is_new_connection) options.m_reuse = net::HttpClientPool::Reuse::kFresh;
   bool is_abandoned = NextRandomBelow(&m_random, kRequestsPerAbandonment) == 0;
+  options.m_wait =
+      is_abandoned ? request.m_caller_timeout / 20 : request.m_caller_timeout;
   m_monitor->RecordRequest(request.m_id, record);
   if (m_request_counts != nullptr) ++m_request_counts->m_sent;
-  milliseconds wait =
-      is_abandoned ? request.m_caller_timeout / 20 : request.m_caller_timeout;
-  TimePoint deadline = Clock::now() + wait;
-  auto start =
-      m_client.Start(entry, m_protocol->m_encode_request(request), deadline,
-                     is_new_connection ? net::HttpClientPool::Reuse::kFresh
-                                       : net::HttpClientPool::Reuse::kPooled);
-  if (start.m_call == nullptr) {
-    ++m_monitor->m_counts["no_connection"];
-    // Skip the failed address, and query the addresses again.
-    std::erase(m_usable_entries, record.m_entry);
-    m_refresh_at = TimePoint();
-    return;
-  }
-  base::Result<net::HttpResponse> answer = start.m_call->ReadHead(deadline);
-  while (answer) {
-    base::Result<bool> more = start.m_call->ReadSome(&answer->m_body, deadline);
-    if (!more) answer = tl::unexpected(more.error());
-    if (!more || !*more) break;
-  }
-  if (!answer) {
-    bool is_connection_lost =
-        answer.error().m_kind != base::ErrorKind::kTimeout;
-    if (is_connection_lost) m_monitor->RecordLostConnection(request.m_id);
-    ++m_monitor->m_counts[is_abandoned ? "given_up" : "no_answer"];
-    return;
+  switch (
+      ExchangeRequest(options, request, &m_client, *m_protocol, m_monitor)) {
+    case ExchangeOutcome::kNoConnection:
+      ++m_monitor->m_counts["no_connection"];
+      // Skip the failed address, and query the addresses again.
+      std::erase(m_usable_entries, record.m_entry);
+      m_refresh_at = TimePoint();
+      return;
+    case ExchangeOutcome::kNoAnswer:
+      ++m_monitor->m_counts[is_abandoned ? "given_up" : "no_answer"];
+      return;
+    case ExchangeOutcome::kServed:
+      if (m_request_counts != nullptr) ++m_request_counts->m_served;
+      return;
+    default:
+      return;
   }
-  m_monitor->RecordResponse(request.m_id, *answer,
-                            m_protocol->m_get_signature(*answer));
-  bool is_served = answer->m_status == 200;
-  if (m_request_counts != nullptr && is_served) ++m_request_counts->m_served;
 }
 
 void Caller::Run(TimePoint end) {
--- a/soak/client.h
+++ b/soak/client.h
@@ -23,6 +23,36 @@
 /** Host name of all routes. */
 inline constexpr const char *kRouteHost = "soak.example";
 
+/** Fills a request to a route, and what the monitor knows of it. The model and
+ * the prompt are used only on routes that need a model. */
+void FillRequest(const std::string &path, const std::string &body,
+                 const std::string &model,
+                 std::vector<std::string> prompt_parts, CallerRequest *request,
+                 RequestRecord *record);
+
+struct ExchangeOptions {
+  net::Endpoint m_entry;
+  base::milliseconds m_wait{0};  ///< for the whole answer
+  net::HttpClientPool::Reuse m_reuse = net::HttpClientPool::Reuse::kPooled;
+};
+
+enum class ExchangeOutcome : std::uint8_t {
+  kNoConnection,
+  kNoAnswer,  ///< or an incomplete one
+  kFailed,    ///< answered with another status than 200
+  kServed,
+  kEnd,
+};
+
+/**
+ * Sends a request to an entry host and records what its caller sees.
+ * @pre inside net::RunFiberThread; the monitor knows the request
+ */
+ExchangeOutcome ExchangeRequest(const ExchangeOptions &options,
+                                const CallerRequest &request,
+                                net::HttpClientPool *client,
+                                const SoakProtocol &protocol, Monitor *monitor);
+
 struct CallerOptions {
   int m_number = 0;
   std::uint64_t m_seed = 0;
--- a/soak/fake_runner.cpp
+++ b/soak/fake_runner.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds kOrderDelay{1'500};
 /** How long a leaving runner serves after its drain time. */
 constexpr milliseconds kServeAfterDrain{300};
-/** After a crash that a prompt causes. */
+/** After a crash that a prompt or a request causes. */
 constexpr milliseconds kRestartTime{1'500};
 /** That a runner asks for. */
 constexpr milliseconds kPause{1'500};
@@ -406,6 +406,10 @@
     m_monitor->RecordPromptCrash();
     Crash(kRestartTime);
     exchange.Abort();
+  } else if (!m_is_leaving && m_monitor->TakeCrash(forwarded.m_id)) {
+    m_monitor->RecordUpstreamDisturbance(Clock::now() + kRestartTime);
+    Crash(kRestartTime);
+    exchange.Abort();
   } else if (forwarded.m_model.empty()) {
     AnswerPlain(forwarded, signature, exchange);
   } else {
--- a/soak/link_proxy.cpp
+++ b/soak/link_proxy.cpp
@@ -46,6 +46,17 @@
   socket->Socket().close(ignored);
 }
 
+/** Binds a socket that isn't connected to an IP address; "": any. */
+boost::system::error_code BindSource(const std::string &ip,
+                                     net::DeadlineSocket *socket) {
+  boost::system::error_code error;
+  if (ip.empty()) return error;
+  tcp::endpoint source(asio::ip::make_address(ip), 0);
+  socket->Socket().open(source.protocol(), error);
+  if (!error) socket->Socket().bind(source, error);
+  return error;
+}
+
 /** Forwards one direction until end of stream or an error. */
 void ForwardBytes(const ConnectionPtr &connection, net::DeadlineSocket *from,
                   net::DeadlineSocket *to, const LinkState *state,
@@ -80,15 +91,18 @@
 struct LinkProxy::Impl {
   net::Endpoint m_listen;
   net::Endpoint m_target;
+  std::string m_source_ip;
   std::unique_ptr<tcp::acceptor> m_acceptor;
   std::set<ConnectionPtr> m_connections;
   bool m_is_stopped = false;
 };
 
-LinkProxy::LinkProxy(net::Endpoint listen, net::Endpoint target)
+LinkProxy::LinkProxy(net::Endpoint listen, net::Endpoint target,
+                     std::string source_ip)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_listen = std::move(listen);
   m_impl->m_target = std::move(target);
+  m_impl->m_source_ip = std::move(source_ip);
 }
 
 LinkProxy::~LinkProxy() = default;
@@ -134,8 +148,13 @@
     ++running;
     boost::fibers::fiber([this, connection, target, &running] {
       boost::system::error_code ignored;
-      net::IoResult connected = connection->m_target_socket.Connect(
-          target, Clock::now() + kConnectTimeout);
+      net::IoResult connected;
+      connected.m_error =
+          BindSource(m_impl->m_source_ip, &connection->m_target_socket);
+      if (!connected.m_error) {
+        connected = connection->m_target_socket.Connect(
+            target, Clock::now() + kConnectTimeout);
+      }
       if (connected.m_error) {
         ResetSocket(&connection->m_client_socket);
       } else {
--- a/soak/link_proxy.h
+++ b/soak/link_proxy.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <set>
+#include <string>
 
 #include "base/error_type.h"
 #include "base/time_type.h"
@@ -27,7 +28,9 @@
  */
 class LinkProxy {
  public:
-  LinkProxy(net::Endpoint listen, net::Endpoint target);
+  /** @param source_ip of connections to the target; "": any */
+  LinkProxy(net::Endpoint listen, net::Endpoint target,
+            std::string source_ip = "");
   ~LinkProxy();
   LinkProxy(const LinkProxy &) = delete;
   LinkProxy &operator=(const LinkProxy &) = delete;
--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -19,6 +19,8 @@
 
 constexpr const char *kMovingPath = "/move/";
 constexpr const char *kMovingServicePrefix = "desk-";
+/** Part of the reason of refusals because of a quarantine. */
+constexpr const char *kQuarantineReason = "quarantined";
 /** Added to time limits for delays within this process. */
 constexpr base::milliseconds kTimeMargin{250};
 /** An answer of 502 or 504 is early before this share of the caller's timeout.
@@ -171,6 +173,73 @@
                       "reached another one");
 }
 
+void Monitor::ScheduleCrash(const std::string &repeated_as) {
+  ++m_repeated[repeated_as].m_scheduled_crashes;
+}
+
+bool Monitor::TakeCrash(const std::string &id) {
+  auto found = m_requests.find(id);
+  if (found == m_requests.end()) return false;
+  const RequestRecord &record = found->second;
+  if (record.m_repeated_as.empty()) return false;
+  RepeatedState &state = m_repeated[record.m_repeated_as];
+  if (record.m_crashes_runners) {
+    ++m_counts["request_crashes"];
+    state.m_crashes.push_back(Clock::now());
+    return true;
+  }
+  if (state.m_scheduled_crashes == 0) return false;
+  --state.m_scheduled_crashes;
+  ++m_counts["other_crashes"];
+  return true;
+}
+
+/** Checks that a request that has crashed runners reaches no further ones. */
+void Monitor::CheckCrashingRequest(const std::string &id,
+                                   const RequestRecord &record) {
+  constexpr std::size_t kCrashes = 3;
+  if (!record.m_crashes_runners) return;
+  RepeatedState &state = m_repeated[record.m_repeated_as];
+  if (state.m_crashes.size() < kCrashes) return;
+  TimePoint now = Clock::now();
+  TimePoint known_at = state.m_crashes[kCrashes - 1];
+  if (now <= known_at + m_bounds.m_quarantine_time) return;
+  if (!IsEntryUndisturbed(record.m_entry, known_at, now)) return;
+  ++m_counts["late_crashing_requests"];
+  if (++state.m_late_arrivals <= m_bounds.m_max_late_crashing_requests) return;
+  ReportViolation(
+      "crashing requests",
+      fmt::format("request {} on {} reached a runner {} ms after it had "
+                  "crashed {} of them",
+                  id, record.m_path, base::ToMilliseconds(now - known_at),
+                  kCrashes));
+}
+
+/** Checks that sound requests aren't taken for crashing ones for long. */
+void Monitor::CheckWrongQuarantine(const RequestRecord &record, int status,
+                                   const std::string &refusal_reason) {
+  if (record.m_has_crashing_part || record.m_crashes_runners) return;
+  const std::string &name =
+      record.m_repeated_as.empty() ? record.m_path : record.m_repeated_as;
+  auto found = m_wrongly_refused_at.find({record.m_entry, name});
+  bool is_known = found != m_wrongly_refused_at.end();
+  if (IsSuccess(status) && is_known && record.m_sent_at >= found->second)
+    m_wrongly_refused_at.erase(found);
+  if (refusal_reason.find(kQuarantineReason) == std::string::npos) return;
+  ++m_counts["wrongly_quarantined"];
+  TimePoint now = Clock::now();
+  TimePoint &first =
+      m_wrongly_refused_at.try_emplace({record.m_entry, name}, now)
+          .first->second;
+  if (now <= first + m_bounds.m_max_wrong_quarantine) return;
+  if (!IsEntryUndisturbed(record.m_entry, first, now)) return;
+  ReportViolation(
+      "wrong quarantine",
+      fmt::format("entry host {} refused {}, which is sound, for {} ms",
+                  record.m_entry, name, base::ToMilliseconds(now - first)));
+  first = now;
+}
+
 bool Monitor::RecordExecution(const std::string &service,
                               const std::string &signature,
                               const ForwardedRequest &forwarded,
@@ -264,9 +333,11 @@
 
 void Monitor::RecordResponse(const std::string &id,
                              const net::HttpResponse &answer,
-                             const std::string &signature) {
+                             const std::string &signature,
+                             const std::string &refusal_reason) {
   RequestRecord &record = m_requests.at(id);
   ++m_counts[fmt::format("status_{}", answer.m_status)];
+  CheckWrongQuarantine(record, answer.m_status, refusal_reason);
   bool is_signature_known =
       std::find(record.m_signatures.begin(), record.m_signatures.end(),
                 signature) != record.m_signatures.end();
@@ -362,6 +433,7 @@
   RequestRecord &record = request->second;
   record.m_has_arrived = true;
   ReportArrivalAfterFailure(&record);
+  CheckCrashingRequest(id, record);
   TimePoint now = Clock::now();
   EntryAndUpstream key{record.m_entry, upstream};
   auto is_excused = [&](TimePoint from) {
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -25,9 +25,13 @@
   base::milliseconds m_apply_time{2'500};  ///< from acknowledged to in force
   /** The same while one control host is affected by faults. */
   base::milliseconds m_max_apply_time{8'500};
-  /** From the fifth crash under one prompt part until its requests end. */
+  /** From the fifth crash under one prompt part, or the third under one
+   * request, until its requests end. */
   base::milliseconds m_quarantine_time{4'000};
   int m_max_late_crashing_prompts = 3;
+  int m_max_late_crashing_requests = 3;  ///< for each request
+  /** For which sound requests may be refused in a row as crashing ones. */
+  base::milliseconds m_max_wrong_quarantine{2'000};
   /** A host that has used a version for longer never uses an older one. */
   base::milliseconds m_rollback_time{250};
   base::milliseconds m_order_lease{3'000};  ///< between orders of two holders
@@ -45,6 +49,10 @@
   std::string m_body;
   bool m_is_repeatable = false;
   bool m_is_stream = false;
+  bool m_has_crashing_part = false;
+  /** Name of a request that comes again with other IDs, "" if it doesn't. */
+  std::string m_repeated_as;
+  bool m_crashes_runners = false;  ///< whenever it is repeated
   int m_entry = 0;
   base::TimePoint m_sent_at;
   base::milliseconds m_timeout{0};  ///< of the caller
@@ -97,7 +105,8 @@
                        const net::HttpRequest &request);
   /** A caller got a complete response. */
   void RecordResponse(const std::string &id, const net::HttpResponse &answer,
-                      const std::string &signature);
+                      const std::string &signature,
+                      const std::string &refusal_reason);
   /** A caller lost its connection before the end of the response. */
   void RecordLostConnection(const std::string &id);
   /** @return the response body of an upstream. */
@@ -131,6 +140,13 @@
   /** A request with kCrashingPart reaches a runner. */
   void RecordCrashingPrompt(const std::string &id);
 
+  // Requests that crash runners, and sound ones beside them.
+
+  /** The next runner that runs a repeated request, which is sound, crashes. */
+  void ScheduleCrash(const std::string &repeated_as);
+  /** @return whether the runner that runs a request crashes now */
+  bool TakeCrash(const std::string &id);
+
   // Tables. Version V routes /move/ to service V modulo kMovingServices.
 
   static constexpr std::uint64_t kMovingServices = 3;
@@ -192,6 +208,9 @@
                              const ForwardedRequest &forwarded,
                              const net::HttpRequest &request);
   bool IsEarlyFailure(const RequestRecord &record, int status) const;
+  void CheckCrashingRequest(const std::string &id, const RequestRecord &record);
+  void CheckWrongQuarantine(const RequestRecord &record, int status,
+                            const std::string &refusal_reason);
   void RecordFailure(const std::string &id, const std::string &failure);
   void ReportArrivalAfterFailure(RequestRecord *record);
 
@@ -221,6 +240,14 @@
   std::vector<base::TimePoint> m_store_loads;
   std::vector<base::TimePoint> m_prompt_crashes;
   int m_late_crashing_prompts = 0;  ///< that count against the guarantee
+  struct RepeatedState {
+    std::vector<base::TimePoint> m_crashes;  ///< of runners under the request
+    int m_late_arrivals = 0;      ///< that count against the guarantee
+    int m_scheduled_crashes = 0;  ///< for other reasons
+  };
+  std::map<std::string, RepeatedState> m_repeated;  ///< by name
+  /** First refusal in a row, by entry host and name or path of requests. */
+  std::map<std::pair<int, std::string>, base::TimePoint> m_wrongly_refused_at;
   std::vector<std::string> m_violations;
 };
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -90,6 +90,8 @@
          milliseconds(0), false},
         {FaultKind::kCrashingPrompts, "crashing_prompts", 0, milliseconds(0),
          milliseconds(0), false},
+        {FaultKind::kCrashingRequests, "crashing_requests", 0, milliseconds(0),
+         milliseconds(0), false},
         {FaultKind::kStopEntry, "stop_entry", 0, milliseconds(0),
          milliseconds(0), false},
         {FaultKind::kPauseRunner, "pause_runner", 0, milliseconds(0),
@@ -222,6 +224,19 @@
   return fault.m_at + fault.m_duration;
 }
 
+/** Some requests crash runners and come again. @return the end */
+milliseconds AddCrashingRequests(Random *random, SoakPlan *plan) {
+  plan->m_desk_runners = kDeskRunners;
+  PlannedFault fault;
+  fault.m_at = kFirstPhaseStart;
+  fault.m_kind = FaultKind::kCrashingRequests;
+  fault.m_target =
+      static_cast<std::uint32_t>(NextRandomBelow(random, kTargetNumberLimit));
+  fault.m_duration = kFirstPhaseDuration;
+  plan->m_faults.push_back(fault);
+  return fault.m_at + fault.m_duration;
+}
+
 /**
  * Runners fall silent for a while, some of them at the same time, beside
  * changes of the route table. @return the end
@@ -268,6 +283,7 @@
   kSeriesOfChanges,
   kCrashingPrompts,
   kFrozenRunners,
+  kCrashingRequests,
 };
 
 /** @return the phase of one kind with which a seed starts. */
@@ -275,6 +291,7 @@
   if (seed % 3 == 1) return FirstPhase::kSeriesOfChanges;
   if (seed % 3 == 2) return FirstPhase::kCrashingPrompts;
   if (seed % 12 == 3) return FirstPhase::kFrozenRunners;
+  if (seed % 12 == 6) return FirstPhase::kCrashingRequests;
   return FirstPhase::kNone;
 }
 
@@ -287,6 +304,8 @@
       return AddCrashingPrompts(plan);
     case FirstPhase::kFrozenRunners:
       return AddFrozenRunners(random, plan);
+    case FirstPhase::kCrashingRequests:
+      return AddCrashingRequests(random, plan);
     case FirstPhase::kNone:
       break;
   }
--- a/soak/plan_func.h
+++ b/soak/plan_func.h
@@ -11,9 +11,9 @@
  * Generates a plan in which fault phases and quiet phases alternate. Faults may
  * overlap and repeat; quiet phases contain planned work. Most seeds start with
  * a phase of one kind, which is added to the duration: a series of changes,
- * prompts that crash runners, or runners that fall silent. The same arguments
- * give the same plan. While the data folder of a control host is replaced, no
- * other fault affects control hosts or messages. Thread-safe.
+ * prompts or requests that crash runners, or runners that fall silent. The same
+ * arguments give the same plan. While the data folder of a control host is
+ * replaced, no other fault affects control hosts or messages. Thread-safe.
  */
 SoakPlan MakePlan(std::uint64_t seed, base::milliseconds duration);
 
--- a/soak/plan_type.h
+++ b/soak/plan_type.h
@@ -34,6 +34,7 @@
   kLateOrders,       ///< a runner executes orders late, without a response
   kChangeControlList,  ///< an entry host gets other control hosts, by SIGHUP
   kCrashingPrompts,    ///< some prompts crash each runner that answers them
+  kCrashingRequests,   ///< repeated requests crash each runner that runs them
   kStopEntry,          ///< planned work: SIGTERM, restarted after its exit
   kPauseRunner,        ///< planned work: a runner refuses and asks for pauses
   kLeaveSilently,  ///< planned work: only its answers say that a runner leaves
--- a/soak/protocol_type.h
+++ b/soak/protocol_type.h
@@ -71,6 +71,8 @@
   std::function<net::HttpRequest(const CallerRequest &)> m_encode_request;
   /** @return the signature of the upstream that responded, or "" */
   std::function<std::string(const net::HttpResponse &)> m_get_signature;
+  /** @return why an entry host refused a request, or "" */
+  std::function<std::string(const net::HttpResponse &)> m_get_refusal_reason;
   std::function<net::HttpRequest(const std::string &host,
                                  const std::string &region,
                                  const std::string &domain)>
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -77,6 +77,7 @@
   void InjectHostFault(const PlannedFault &fault);
   void InjectMessageFault(const PlannedFault &fault);
   void InjectRunnerFault(const PlannedFault &fault);
+  void SendCrashingRequests(const PlannedFault &fault);
   void Kill(Host *host, base::milliseconds downtime, bool deletes_data);
   void Stop(Host *host, base::milliseconds downtime);
   void Pause(Host *host, base::milliseconds duration);
--- a/soak/soak_run_faults.cpp
+++ b/soak/soak_run_faults.cpp
@@ -10,6 +10,7 @@
 #include "base/log_func.h"
 #include "net/fiber_scheduler.h"
 #include "soak/plan_func.h"
+#include "soak/repeating_callers.h"
 #include "soak/soak_run.h"
 
 namespace wasabiwind::soak {
@@ -30,6 +31,8 @@
 constexpr milliseconds kLinkDelay{150};
 constexpr milliseconds kDrainTime{2'500};
 constexpr rlim_t kFullDiskBytes = 1;
+constexpr int kFirstRepeatingCallerIp = 200;
+constexpr int kRepeatingCallerIps = 3;
 
 }  // namespace
 
@@ -70,6 +73,7 @@
     case FaultKind::kGarbleAnswers:
     case FaultKind::kLateOrders:
     case FaultKind::kCrashingPrompts:
+    case FaultKind::kCrashingRequests:
     case FaultKind::kPauseRunner:
     case FaultKind::kLeaveSilently:
     case FaultKind::kLeaveRunner:
@@ -169,6 +173,9 @@
       net::SleepFor(fault.m_duration);
       m_monitor.m_sends_crashing_prompts = false;
       return;
+    case FaultKind::kCrashingRequests:
+      SendCrashingRequests(fault);
+      return;
     case FaultKind::kLeaveRunner:
       runner->Leave(kDrainTime);
       return;
@@ -222,6 +229,22 @@
   *flag = false;
 }
 
+void SoakRun::SendCrashingRequests(const PlannedFault &fault) {
+  RepeatingCallersOptions options;
+  options.m_requests = MakeRepeatedRequests(fault.m_target, m_models);
+  options.m_seed = m_options.m_plan.m_seed;
+  for (int i = 0; i < kRepeatingCallerIps; ++i) {
+    options.m_ips.push_back(MakeIp(kFirstRepeatingCallerIp + i));
+  }
+  RepeatingCallers callers(std::move(options), &m_addresses, m_protocol,
+                           &m_monitor);
+  if (auto done = callers.Listen(); !done) {
+    m_monitor.ReportViolation("recovery", done.error().ToString());
+    return;
+  }
+  callers.Run(Clock::now() + fault.m_duration);
+}
+
 void SoakRun::RecordDisturbance(const Host &host, TimePoint until) {
   if (host.m_is_entry) {
     m_monitor.RecordEntryDisturbance(host.m_number, until);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -8,12 +8,16 @@
 #include <thread>
 
 #include "net/fiber_scheduler.h"
+#include "net/http_server.h"
 #include "platform/control_protocol_func.h"
+#include "platform/gateway_protocol_func.h"
 #include "platform/soak_protocol_func.h"
 #include "soak/client.h"
 #include "soak/fake_runner.h"
+#include "soak/link_proxy.h"
 #include "soak/monitor.h"
 #include "soak/plan_func.h"
+#include "soak/repeating_callers.h"
 
 namespace wasabiwind::soak {
 namespace {
@@ -79,6 +83,7 @@
   }
   EXPECT_EQ(get_first_fault(2).m_kind, FaultKind::kCrashingPrompts);
   EXPECT_EQ(get_first_fault(3).m_kind, FaultKind::kFreezeRunner);
+  EXPECT_EQ(get_first_fault(6).m_kind, FaultKind::kCrashingRequests);
   EXPECT_EQ(get_first_fault(8004).m_at, milliseconds(500));
 }
 
@@ -101,6 +106,48 @@
   EXPECT_LT(plan.m_changes.front().m_at, end);
 }
 
+/** @return a request of a kind, for a choice of crashing requests. */
+const RepeatedRequest &FindRepeated(
+    const std::vector<RepeatedRequest> &requests, const std::string &name) {
+  return *std::find_if(requests.begin(), requests.end(),
+                       [&name](const RepeatedRequest &item) {
+                         return item.m_record.m_repeated_as == name;
+                       });
+}
+
+// A crashing request must be told from sound ones by all of its fields only.
+TEST(RepeatedRequestsTest, CrashingRequestsShareEachFieldWithSoundOnes) {
+  for (std::uint32_t choice = 0; choice < 12; ++choice) {
+    std::vector<RepeatedRequest> requests =
+        MakeRepeatedRequests(choice, {"m0", "m1", "m2"});
+    int crashing = 0;
+    int meeting_crashes = 0;
+    std::set<std::string> names;
+    for (const RepeatedRequest &item : requests) {
+      names.insert(item.m_record.m_repeated_as);
+      meeting_crashes += item.m_meets_crashes ? 1 : 0;
+      if (!item.m_record.m_crashes_runners) continue;
+      EXPECT_FALSE(item.m_meets_crashes);
+      std::string number = std::to_string(crashing++);
+      const CallerRequest &bad = item.m_request;
+      const RepeatedRequest &body =
+          FindRepeated(requests, "other-body-" + number);
+      const RepeatedRequest &path =
+          FindRepeated(requests, "other-path-" + number);
+      EXPECT_EQ(body.m_request.m_path, bad.m_path);
+      EXPECT_EQ(body.m_request.m_prompt_parts, bad.m_prompt_parts);
+      EXPECT_NE(body.m_request.m_body, bad.m_body);
+      EXPECT_EQ(path.m_request.m_body, bad.m_body);
+      EXPECT_EQ(path.m_request.m_prompt_parts, bad.m_prompt_parts);
+      EXPECT_NE(path.m_request.m_path, bad.m_path);
+      EXPECT_NE(path.m_record.m_is_repeatable, item.m_record.m_is_repeatable);
+    }
+    EXPECT_EQ(crashing, static_cast<int>(choice % 3) + 1);
+    EXPECT_EQ(meeting_crashes, 2);
+    EXPECT_EQ(names.size(), requests.size());
+  }
+}
+
 /** A monitor with short bounds and one entry host. */
 class MonitorTest : public testing::Test {
  protected:
@@ -112,6 +159,7 @@
     bounds.m_max_apply_time = milliseconds(40);
     bounds.m_pause_reaction = milliseconds(20);
     bounds.m_quarantine_time = milliseconds(10);
+    bounds.m_max_wrong_quarantine = milliseconds(10);
     bounds.m_rollback_time = milliseconds(10);
     bounds.m_weight_mb = 200;
     bounds.m_adapter_slots = 1;
@@ -152,7 +200,25 @@
     net::HttpResponse response;
     response.m_status = status;
     response.m_body = body;
-    m_monitor.RecordResponse(id, response, signature);
+    m_monitor.RecordResponse(id, response, signature, "");
+  }
+
+  void SendRepeated(const std::string &id, const std::string &name,
+                    bool crashes_runners) {
+    RequestRecord record;
+    record.m_path = "/safe/";
+    record.m_body = "body";
+    record.m_is_repeatable = true;
+    record.m_repeated_as = name;
+    record.m_crashes_runners = crashes_runners;
+    record.m_sent_at = base::Clock::now();
+    m_monitor.RecordRequest(id, record);
+  }
+
+  void Refuse(const std::string &id, const std::string &reason) {
+    net::HttpResponse response;
+    response.m_status = 503;
+    m_monitor.RecordResponse(id, response, "", reason);
   }
 
   fleet_control::RunnerOrder MakeOrder(const std::string &holder,
@@ -332,6 +398,84 @@
   EXPECT_EQ(GetViolatedGuarantees(), "crashing prompts;");
 }
 
+TEST_F(MonitorTest, CatchesCrashingRequestsThatGoOn) {
+  SendRepeated("r", "first", true);
+  SendRepeated("q", "second", true);
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(m_monitor.TakeCrash("r"));
+  for (int i = 0; i < 2; ++i) EXPECT_TRUE(m_monitor.TakeCrash("q"));
+  m_monitor.RecordArrival("u1", "r");
+  Pause(kLongPauseMs);
+  // Two crashes under a request are no reason to refuse it.
+  for (int i = 0; i < 9; ++i) m_monitor.RecordArrival("u1", "q");
+  for (int i = 0; i < 3; ++i) m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "crashing requests;");
+}
+
+TEST_F(MonitorTest, IgnoresCrashingRequestsFromADisturbedHost) {
+  SendRepeated("r", "first", true);
+  for (int i = 0; i < 3; ++i) EXPECT_TRUE(m_monitor.TakeCrash("r"));
+  Pause(kLongPauseMs);
+  m_monitor.RecordEntryDisturbance(0, base::Clock::now());
+  for (int i = 0; i < 9; ++i) m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+}
+
+TEST_F(MonitorTest, CatchesALongRefusalOfSoundRequests) {
+  Send("r", "/once/", false);
+  Refuse("r", "prompt_quarantined");
+  Pause(kLongPauseMs);
+  Send("q", "/safe/", true);
+  Refuse("q", "prompt_quarantined");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  Send("s", "/once/", false);
+  Refuse("s", "quarantined");
+  EXPECT_EQ(GetViolatedGuarantees(), "wrong quarantine;");
+}
+
+TEST_F(MonitorTest, IgnoresShortRefusalsOfSoundRequests) {
+  SendRepeated("r", "sound", false);
+  Refuse("r", "quarantined");
+  SendRepeated("served", "sound", false);
+  RunAt("served", "/safe/", "desk-0");
+  Answer("served", 200, Monitor::MakeAnswer("served", kSignature), kSignature);
+  Pause(kLongPauseMs);
+  SendRepeated("q", "sound", false);
+  Refuse("q", "quarantined");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+}
+
+TEST_F(MonitorTest, IgnoresRefusalsOfCrashingOrForOtherReasons) {
+  SendRepeated("r", "crashing", true);
+  SendRepeated("q", "sound", false);
+  for (int i = 0; i < 2; ++i) {
+    Refuse("r", "quarantined");
+    Refuse("q", "no_model");
+    Pause(kLongPauseMs);
+  }
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+}
+
+// Crashes for other reasons must not depend on the request that is refused.
+TEST_F(MonitorTest, CatchesARefusalAfterCrashesForOtherReasons) {
+  SendRepeated("r", "sound", false);
+  EXPECT_FALSE(m_monitor.TakeCrash("r"));
+  for (int i = 0; i < 3; ++i) {
+    m_monitor.ScheduleCrash("sound");
+    EXPECT_TRUE(m_monitor.TakeCrash("r"));
+    EXPECT_FALSE(m_monitor.TakeCrash("r"));
+  }
+  Pause(kLongPauseMs);
+  for (int i = 0; i < 9; ++i) m_monitor.RecordArrival("u1", "r");
+  EXPECT_EQ(GetViolatedGuarantees(), "");
+  Refuse("r", "quarantined");
+  Pause(kLongPauseMs);
+  SendRepeated("q", "sound", false);
+  Refuse("q", "quarantined");
+  EXPECT_EQ(GetViolatedGuarantees(), "wrong quarantine;");
+}
+
 TEST_F(MonitorTest, CatchesAHostThatRevertsToAnOldTable) {
   m_monitor.RecordSentTable(1, "one");
   m_monitor.RecordSentTable(2, "two");
@@ -434,9 +578,17 @@
   EXPECT_EQ(GetViolatedGuarantees(), "planned work cuts nothing;");
 }
 
+/** @return an address that tests that run at the same time don't share. */
+std::string MakeTestIp() {
+  constexpr int kAddresses = 250;
+  int process = ::getpid();
+  return "127.29." + std::to_string(1 + process / kAddresses % kAddresses) +
+         "." + std::to_string(1 + process % kAddresses);
+}
+
 /** A runner of service desk-0 without control hosts. */
 FakeRunnerOptions MakeRunnerOptions() {
-  std::string ip = "127.29.1." + std::to_string(1 + ::getpid() % 250);
+  std::string ip = MakeTestIp();
   FakeRunnerOptions options;
   options.m_name = "u0";
   options.m_service = "desk-0";
@@ -483,6 +635,96 @@
   EXPECT_TRUE(monitor.GetViolations().empty());
 }
 
+// The runner restarts, so that what it ran is lost, and serves others later.
+TEST(FakeRunnerTest, CrashesUnderACrashingRequestOnly) {
+  SoakProtocol protocol = platform::MakeSoakProtocol();
+  Monitor monitor(SoakBounds(), 1);
+  FakeRunnerOptions options = MakeRunnerOptions();
+  std::map<std::string, bool> served;
+  net::RunFiberThread([&] {
+    FakeRunner runner(options, &protocol, &monitor);
+    ASSERT_TRUE(runner.Listen());
+    boost::fibers::fiber run([&] { runner.Run(); });
+    net::SleepFor(milliseconds(20));
+    net::HttpClientPool client;
+    for (const char *name : {"sound", "crashing", "too-early"}) {
+      CallerRequest request;
+      request.m_id = name;
+      request.m_path = "/once/";
+      RequestRecord record;
+      record.m_path = request.m_path;
+      record.m_repeated_as = name;
+      record.m_crashes_runners = request.m_id == "crashing";
+      monitor.RecordRequest(request.m_id, record);
+      auto answer = client.Fetch(options.m_reported_endpoint,
+                                 protocol.m_encode_request(request),
+                                 base::Clock::now() + milliseconds(1'000));
+      served[name] = answer && answer->m_status == 200;
+    }
+    runner.Stop();
+    run.join();
+  });
+  EXPECT_TRUE(served["sound"]);
+  EXPECT_FALSE(served["crashing"]);
+  EXPECT_FALSE(served["too-early"]);
+  EXPECT_EQ(monitor.m_counts["request_crashes"], 1);
+}
+
+// Repeated requests must not be known by the address of their caller.
+TEST(LinkProxyTest, ConnectsFromTheGivenAddress) {
+  std::string ip = MakeTestIp();
+  std::string caller_ip = "127.28.1.1";
+  net::Endpoint listen{ip, 18'401};
+  net::Endpoint target{ip, 18'402};
+  std::string seen;
+  net::RunFiberThread([&] {
+    net::HttpServerOptions options;
+    options.m_listen = target;
+    net::HttpServer server(
+        options, [&](const net::HttpRequest &, net::HttpExchange &exchange) {
+          seen = exchange.PeerAddress();
+          (void)exchange.Respond(net::HttpResponse());
+        });
+    LinkProxy link(listen, target, caller_ip);
+    ASSERT_TRUE(server.Listen());
+    ASSERT_TRUE(link.Listen());
+    boost::fibers::fiber server_fiber([&] { server.Serve(); });
+    boost::fibers::fiber link_fiber([&] { link.Serve(); });
+    {
+      net::HttpClientPool client;
+      net::HttpRequest request;
+      request.m_method = "GET";
+      request.m_target = "/";
+      auto answer = client.Fetch(listen, request,
+                                 base::Clock::now() + milliseconds(1'000));
+      EXPECT_TRUE(answer && answer->m_status == 200);
+    }
+    link.Stop();
+    server.Stop();
+    link_fiber.join();
+    server_fiber.join();
+  });
+  EXPECT_EQ(seen.substr(0, seen.find(':')), caller_ip);
+}
+
+// The monitor must know why entry hosts refuse.
+TEST(SoakProtocolTest, ReadsTheReasonOfARefusal) {
+  SoakProtocol soak = platform::MakeSoakProtocol();
+  gateway::RefusalDetails details;
+  details.m_status = 503;
+  details.m_reason = "prompt_quarantined";
+  net::HttpResponse refusal =
+      platform::MakeGatewayProtocol().m_make_refusal(details);
+  EXPECT_EQ(soak.m_get_refusal_reason(refusal), "prompt_quarantined");
+  net::HttpResponse answer;
+  answer.m_status = 200;
+  answer.m_body = R"({"reason":"quarantined"})";
+  EXPECT_EQ(soak.m_get_refusal_reason(answer), "");
+  answer.m_status = 502;
+  answer.m_body = "no JSON";
+  EXPECT_EQ(soak.m_get_refusal_reason(answer), "");
+}
+
 // Control hosts must decode the same table that the soak's operator encodes.
 TEST(SoakProtocolTest, DecodedTableEqualsEncodedTable) {
   SoakProtocol soak = platform::MakeSoakProtocol();
