Answer the connections that a stopping server has already accepted

Cause: HttpServer::Stop closed the listening socket, which resets the connections that the kernel had accepted, and cancelled connections whose first request was still on its way.

Change: Stop ends the wait for connections only. The server then accepts those in the queue, and gives new ones 100 ms for their first request.

Result: StopAnswersNewConnections failed before and passes.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -40,6 +41,8 @@
 constexpr int kListenBacklog = 1024;
 /** Pause after accept failed, for instance because descriptors ran out. */
 constexpr base::milliseconds kAcceptRetryDelay{50};
+/** How long a stopping server waits for the first request of a connection. */
+constexpr base::milliseconds kFirstRequestGrace{100};
 
 base::Error MakeIoError(const beast::error_code &error, const char *action) {
   bool is_timeout = error == beast::error::timeout;
@@ -90,7 +93,8 @@
 
   DeadlineSocket m_socket;
   beast::flat_buffer m_buffer;
-  bool m_idle = true;  ///< waiting for the first byte of a request
+  bool m_idle = true;    ///< waiting for the first byte of a request
+  bool m_is_new = true;  ///< no byte of its first request has arrived
 };
 
 class ServerExchange : public HttpExchange {
@@ -217,6 +221,19 @@
   std::unordered_set<Connection *> m_connections;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_all_closed;
+
+  bool HasNewConnection() const {
+    return std::any_of(
+        m_connections.begin(), m_connections.end(),
+        [](const Connection *connection) { return connection->m_is_new; });
+  }
+
+  void CloseIdle(bool also_new) {
+    for (Connection *connection : m_connections) {
+      bool may_close = also_new || !connection->m_is_new;
+      if (connection->m_idle && may_close) connection->m_socket.Cancel();
+    }
+  }
 };
 
 }  // namespace
@@ -282,6 +299,8 @@
       asio::io_context *io_context, std::uint16_t port);
   base::Result<std::unique_ptr<tcp::acceptor>> TakeAcceptor(
       asio::io_context *io_context);
+  void StartConnection(ServeThread *thread, tcp::socket socket);
+  void AcceptQueued(ServeThread *thread);
   void ServeConnection(ServeThread *thread, Connection *connection);
   bool ReadRequest(Connection *connection,
                    http::request_parser<http::string_body> *parser);
@@ -361,10 +380,8 @@
     // has returned or after a second Stop.
     asio::post(*thread->m_io_context, [thread] {
       beast::error_code ignored;
-      if (thread->m_acceptor != nullptr) thread->m_acceptor->close(ignored);
-      for (Connection *connection : thread->m_connections) {
-        if (connection->m_idle) connection->m_socket.Cancel();
-      }
+      if (thread->m_acceptor != nullptr) thread->m_acceptor->cancel(ignored);
+      thread->CloseIdle(/*also_new=*/false);
     });
   }
 }
@@ -389,25 +406,15 @@
     IoResult accepted = Await([&](auto handler) {
       thread.m_acceptor->async_accept(socket, handler);
     });
-    if (m_impl->m_stopped) break;
-    if (accepted.m_error) {
+    if (!accepted.m_error) {
+      m_impl->StartConnection(&thread, std::move(socket));
+    } else if (!m_impl->m_stopped) {
       SleepFor(kAcceptRetryDelay);
-      continue;
     }
-    if (m_impl->m_connections >= m_impl->m_options.m_max_connections) continue;
-    beast::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    ++m_impl->m_connections;
-    auto *connection = new Connection(std::move(socket));
-    thread.m_connections.insert(connection);
-    boost::fibers::fiber([this, &thread, connection] {
-      m_impl->ServeConnection(&thread, connection);
-      thread.m_connections.erase(connection);
-      delete connection;
-      --m_impl->m_connections;
-      if (thread.m_connections.empty()) thread.m_all_closed.notify_all();
-    }).detach();
   }
+  m_impl->AcceptQueued(&thread);
+  if (thread.HasNewConnection()) SleepFor(kFirstRequestGrace);
+  thread.CloseIdle(/*also_new=*/true);
   std::unique_lock<boost::fibers::mutex> lock(thread.m_mutex);
   thread.m_all_closed.wait(lock,
                            [&thread] { return thread.m_connections.empty(); });
@@ -416,6 +423,37 @@
   thread.m_acceptor.reset();
 }
 
+/** Serves a connection in a fiber of its own. */
+void HttpServer::Impl::StartConnection(ServeThread *thread,
+                                       tcp::socket socket) {
+  if (m_connections >= m_options.m_max_connections) return;
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  ++m_connections;
+  auto *connection = new Connection(std::move(socket));
+  thread->m_connections.insert(connection);
+  boost::fibers::fiber([this, thread, connection] {
+    ServeConnection(thread, connection);
+    thread->m_connections.erase(connection);
+    delete connection;
+    --m_connections;
+    if (thread->m_connections.empty()) thread->m_all_closed.notify_all();
+  }).detach();
+}
+
+/** Serves the connections that the kernel has accepted and closes the listening
+ * socket, which would reset them. */
+void HttpServer::Impl::AcceptQueued(ServeThread *thread) {
+  beast::error_code error;
+  thread->m_acceptor->non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(*thread->m_io_context);
+    thread->m_acceptor->accept(socket, error);
+    if (!error) StartConnection(thread, std::move(socket));
+  }
+  thread->m_acceptor->close(error);
+}
+
 /**
  * Reads one request.
  * @return false if the connection must close
@@ -427,10 +465,13 @@
   parser->body_limit(m_options.m_max_body_bytes);
   if (connection->m_buffer.size() == 0) {
     connection->m_idle = true;
-    if (m_stopped) return false;
-    beast::error_code error = ReceiveMore(
-        connection, parser, base::Clock::now() + m_idle_timeout.load());
+    if (m_stopped && !connection->m_is_new) return false;
+    base::milliseconds timeout =
+        m_stopped ? kFirstRequestGrace : m_idle_timeout.load();
+    beast::error_code error =
+        ReceiveMore(connection, parser, base::Clock::now() + timeout);
     connection->m_idle = false;
+    connection->m_is_new = false;
     if (error) return false;
   }
   beast::error_code error = ReadPart(
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -244,6 +244,41 @@
   });
 }
 
+/** Guards against a stop that resets a connection whose request has been sent
+ * or is about to be. */
+TEST(HttpTest, StopAnswersNewConnections) {
+  constexpr std::string_view kRequest =
+      "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+  HttpServerOptions options;
+  options.m_listen = Endpoint{"127.0.0.1", 0};
+  HttpServer server(options, Echo);
+  ASSERT_TRUE(server.Listen());
+  RunFiberThread([&server, kRequest] {
+    boost::fibers::fiber serving([&server] { server.Serve(); });
+    SleepFor(milliseconds(10));
+    asio::ip::tcp::endpoint peer(asio::ip::address_v4::loopback(),
+                                 server.Port());
+    // Both connect without letting the server's fiber run.
+    asio::ip::tcp::socket early(CurrentIoContext());
+    early.connect(peer);
+    asio::write(early, asio::buffer(kRequest));
+    asio::ip::tcp::socket late(CurrentIoContext());
+    late.connect(peer);
+    server.Stop();
+    SleepFor(milliseconds(20));
+    boost::system::error_code error;
+    asio::write(late, asio::buffer(kRequest), error);
+    EXPECT_FALSE(error) << error.message();
+    serving.join();
+    for (asio::ip::tcp::socket *socket : {&early, &late}) {
+      std::array<char, 12> start{};
+      asio::read(*socket, asio::buffer(start), error);
+      EXPECT_EQ(std::string(start.data(), start.size()), "HTTP/1.1 200")
+          << error.message();
+    }
+  });
+}
+
 /** Guards against the use of a server's state after Serve has returned, when
  * Stop is called twice and a connection arrives at the same time. */
 TEST(HttpTest, StopTwiceWhileTheThreadContinues) {
