Let one thread at a time return free memory to the kernel

Seen: link_test ended with sanitizers with "Fatal glibc error: __malloc_arena_thread_freeres: a->attached_threads > 0" in 7 of 48 runs, six at once.

Cause, inferred: nodes in several threads call malloc_trim for the first time at once. With a sanitizer's allocator in use the C library's own isn't initialized yet, and this call initializes it without a lock.

Change: the calls take a mutex.

--- a/src/entry/network_link.cpp
+++ b/src/entry/network_link.cpp
@@ -38,6 +38,15 @@
 constexpr base::TimePoint::rep kNeverConfirmed =
     std::numeric_limits<base::TimePoint::rep>::min();
 
+/** Returns free memory to the kernel. The mutex keeps two threads from
+ * initializing the C library's allocator at once, where another allocator (that
+ * of a sanitizer) is in use. */
+void TrimMemory() {
+  static std::mutex mutex;
+  std::lock_guard<std::mutex> lock(mutex);
+  malloc_trim(0);
+}
+
 /** A notice of a leaving upstream, sent to all nodes directly several times. */
 struct RepeatedNotice {
   gen::UpstreamRecord m_record;
@@ -350,7 +359,7 @@
     // The new configuration was built beside the old one, whose memory is free
     // now but would be kept by the allocator.
     m_must_trim = false;
-    malloc_trim(0);
+    TrimMemory();
   }
   bool is_snapshot_unused =
       now >= m_snapshot_requested_at + m_options.m_member.m_node_timeout;
