Look again for what crashed runners when an item is cleared

Cause: a sound request that is asked for more often than the bad one can lose more arrivals in the same crashes. It was quarantined first and explained them all; when an answer cleared it, nothing judged the crashes again until the next one, so the bad request crashed further runners.

Change: evidence is judged again when an item is released, and a suspect that was in more crashes goes before one that lost more arrivals.

--- a/src/fleet/quarantine.cpp
+++ b/src/fleet/quarantine.cpp
@@ -102,9 +102,12 @@
 void RefreshQuarantineTimes(QuarantinePlanner *planner,
                             const gen::Quarantine &current,
                             base::TimePoint now) {
-  std::erase_if(planner->m_quarantined_at, [&current](const auto &item) {
-    return !IsQuarantined(current, item.first);
-  });
+  std::size_t released =
+      std::erase_if(planner->m_quarantined_at, [&current](const auto &item) {
+        return !IsQuarantined(current, item.first);
+      });
+  // Crashes that a released item explained have another cause.
+  if (released != 0) planner->m_has_new_crashes = true;
   for (const gen::QuarantineItem &item : current.items()) {
     if (!item.is_released()) {
       planner->m_quarantined_at.try_emplace(GetSuspect(item), now);
@@ -137,7 +140,8 @@
 
 /** How much speaks against a suspect. */
 struct Suspicion {
-  int m_losses = 0;
+  int m_crashes = 0;
+  int m_losses = 0;  ///< crashes for a part, lost arrivals for a request
   base::TimePoint m_counted_at;  ///< first crash of those that count once
   std::size_t m_position = 0;    ///< highest position in a suspect prompt
   /** Quarantined requests that were in a crash with this part. */
@@ -177,6 +181,7 @@
                          at < suspicion->m_counted_at + kCommonCauseTime;
   if (may_share_cause) return;
   suspicion->m_counted_at = at;
+  ++suspicion->m_crashes;
   ++suspicion->m_losses;
 }
 
@@ -198,6 +203,7 @@
       CountPart(&suspicion, crash.m_at);
     } else if (suspicion.m_quarantined_requests.insert(*quarantined_request)
                    .second) {
+      ++suspicion.m_crashes;
       ++suspicion.m_losses;
     }
   }
@@ -208,7 +214,9 @@
   for (const auto &[key, arrivals] : crash.m_requests) {
     Suspect request = MakeRequestSuspect(key);
     if (planner.m_sound_at.contains(request)) continue;
-    (*suspicions)[request].m_losses += static_cast<int>(arrivals.size());
+    Suspicion &suspicion = (*suspicions)[request];
+    ++suspicion.m_crashes;
+    suspicion.m_losses += static_cast<int>(arrivals.size());
   }
 }
 
@@ -233,7 +241,7 @@
 }
 
 /**
- * @return the suspect that explains most losses; of equal ones the most
+ * @return the suspect that explains most crashes; of equal ones the most
  *         specific one: a request, or the part that stands last in its prompts,
  *         since prompts share their first parts
  */
@@ -241,7 +249,7 @@
                                  const gen::Quarantine &current,
                                  bool may_be_part) {
   std::optional<Suspect> cause;
-  std::tuple<int, bool, std::size_t> highest;
+  std::tuple<int, bool, int, std::size_t> highest;
   for (const auto &[suspect, suspicion] : CountSuspicions(planner, current)) {
     bool is_request = suspect.m_kind == gen::SUSPECT_REQUEST;
     if (!is_request && !may_be_part) continue;
@@ -249,8 +257,8 @@
     bool was_released = known != nullptr && known->is_released();
     int needed = was_released ? 1 : kLossesToQuarantine;
     if (suspicion.m_losses < needed) continue;
-    auto rank =
-        std::make_tuple(suspicion.m_losses, is_request, suspicion.m_position);
+    auto rank = std::make_tuple(suspicion.m_crashes, is_request,
+                                suspicion.m_losses, suspicion.m_position);
     if (cause && rank <= highest) continue;
     cause = suspect;
     highest = rank;
--- a/tests/fleet_quarantine_test.cpp
+++ b/tests/fleet_quarantine_test.cpp
@@ -239,6 +239,22 @@
   EXPECT_FALSE(IsRequestQuarantined(kRequest));
 }
 
+// A sound request that is asked for more often than the bad one has more of its
+// arrivals lost, and explained the crashes until it was cleared.
+TEST_F(QuarantineTest, BadRequestIsFoundBehindASoundOne) {
+  for (int i = 0; i < 2; ++i) {
+    CrashUnderRequest(kOtherRequest, 2);
+    --m_crash_count;
+    CrashUnderRequest(kRequest, 1, {}, milliseconds(0));
+  }
+  ASSERT_TRUE(IsRequestQuarantined(kOtherRequest));
+  CrashUnderRequest(kRequest);
+  m_now += milliseconds(500);
+  AnswerRequest(kOtherRequest);
+  EXPECT_FALSE(IsRequestQuarantined(kOtherRequest));
+  EXPECT_TRUE(IsRequestQuarantined(kRequest));
+}
+
 // An answer to one request says nothing about another.
 TEST_F(QuarantineTest, RequestStaysQuarantinedWhenAnotherIsAnswered) {
   for (int i = 0; i < 3; ++i) CrashUnderRequest(kRequest, 1, {kShared});
