--- a/review/1/reset_of_silent_stream.cpp
+++ b/review/1/reset_of_silent_stream.cpp
@@ -22,7 +22,7 @@
 /** For which a full runner keeps a request in its queue. */
 constexpr milliseconds kQueueTime{1'000};
 constexpr milliseconds kStartLimit{30'000};
-constexpr milliseconds kSettleTime{2'000};
+constexpr milliseconds kSettleTime{5'000};
 constexpr milliseconds kClientTimeout{13'000};
 
 constexpr const char *kConfig =
--- a/review/2/hup_in_grace.cpp
+++ b/review/2/hup_in_grace.cpp
@@ -13,7 +13,7 @@
 constexpr int kEvents = 40;
 constexpr milliseconds kEventPause{100};
 constexpr milliseconds kStartLimit{30'000};
-constexpr milliseconds kSettleTime{2'000};
+constexpr milliseconds kSettleTime{5'000};
 constexpr milliseconds kUntilTerm{1'000};
 constexpr milliseconds kUntilHup{1'000};
 constexpr milliseconds kClientTimeout{13'000};
