--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -110,10 +110,13 @@
   m_file << time << line << std::endl;
 }
 
-Process::~Process() {
+Process::~Process() { Kill(); }
+
+void Process::Kill() {
+  int status = 0;
   if (m_pid < 0 || Poll()) return;
   Signal(SIGKILL);
-  ::waitpid(m_pid, nullptr, 0);
+  if (::waitpid(m_pid, &status, 0) == m_pid) m_status = status;
 }
 
 bool Process::Start(const std::vector<std::string> &command,
@@ -176,11 +179,10 @@
 Deployment::~Deployment() {
   for (Process *process : {&m_controls[0], &m_controls[1], &m_controls[2],
                            &m_entries[0], &m_entries[1]}) {
-    process->Signal(SIGKILL);
-  }
-  if (!m_folder.empty() && std::getenv("KEEP") == nullptr) {
-    fs::remove_all(m_folder);
+    process->Kill();
   }
+  std::error_code ignored;
+  if (!m_folder.empty()) fs::remove_all(m_folder, ignored);
 }
 
 std::string Deployment::MakeIp(int number) const {
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -47,6 +47,8 @@
 
   bool Start(const std::vector<std::string> &command, const std::string &log);
   void Signal(int signal) const;
+  /** Kills it, if it runs, and waits for its end. */
+  void Kill();
   /** @return its wait status if it has ended */
   std::optional<int> Poll();
 
