Keep an error of the connection that a check for input finds

Cause: HttpCall::HasInput looks at the silent connection with MSG_PEEK. The kernel reports a socket's error once, so this call took ECONNRESET off the socket and dropped it. The next read returned the end of the connection, which ends a body without length.

Change: HasInput keeps the error, and the next read fails with it. IsUsable, the only other recv with MSG_PEEK, drops the connection on any error.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <deque>
@@ -251,8 +252,15 @@
   bool HasInput() override {
     if (m_connection->m_buffer.size() > 0) return true;
     char byte = 0;
-    return ::recv(m_connection->m_socket.Socket().native_handle(), &byte, 1,
-                  MSG_PEEK | MSG_DONTWAIT) > 0;
+    ssize_t count = ::recv(m_connection->m_socket.Socket().native_handle(),
+                           &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool is_pending = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    // The kernel reports an error once: the next read would find the end of the
+    // connection instead, which may be the end of a body.
+    if (count < 0 && !is_pending) {
+      m_peek_error = beast::error_code(errno, boost::system::system_category());
+    }
+    return count > 0;
   }
 
   SendState GetSendState() const override { return SendState::kFullySent; }
@@ -283,6 +291,7 @@
   /** Receives bytes. The end of the connection may be the end of the body. */
   beast::error_code ReceiveMore(base::TimePoint deadline) {
     beast::flat_buffer &buffer = m_connection->m_buffer;
+    if (m_peek_error) return m_peek_error;
     if (buffer.size() >= kMaxUnparsedBytes) return http::error::buffer_overflow;
     IoResult result = m_connection->m_socket.ReadSome(
         buffer.prepare(kReadChunkBytes), deadline);
@@ -305,6 +314,7 @@
   std::unique_ptr<ClientConnection> m_connection;
   ResponseParser m_parser;
   ReturnCallback m_return_connection;
+  beast::error_code m_peek_error;  ///< of the connection, seen by HasInput
   bool m_has_head = false;
   bool m_failed = false;
   bool m_discard = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -60,7 +60,8 @@
   virtual base::Result<bool> ReadSome(std::string *data,
                                       base::TimePoint deadline) = 0;
 
-  /** @return whether bytes of the response have arrived that weren't read. */
+  /** @return whether bytes of the response have arrived that weren't read. An
+   * error of the connection is kept for the next read. */
   virtual bool HasInput() = 0;
 
   /** @return how much of the request left this process. */
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -237,6 +237,46 @@
   }
 }
 
+/** Begins a stream without length, falls silent until another runner is tried,
+ * and then resets its connection. */
+bool ResetSilentStream(const std::string &request,
+                       const RawConnection &connection,
+                       const std::atomic<bool> &is_tried_elsewhere) {
+  connection.Write(SignedHead(request, "200 OK") + "\r\n" + Events(1, 3));
+  for (int i = 0; i < 200 && !is_tried_elsewhere; ++i) {
+    std::this_thread::sleep_for(milliseconds(25));
+  }
+  connection.Reset();
+  return false;
+}
+
+// A stream whose runner fell silent and was reset, while another runner held
+// the request in its queue, ended as complete with events missing.
+TEST(GatewayFaultyRunnerTest, ResetOfASilentStreamIsNotItsEnd) {
+  constexpr milliseconds kQueueTime{400};
+  std::atomic<bool> is_tried_elsewhere = false;
+  auto serve = [&](int, const std::string &request,
+                   const RawConnection &connection) {
+    if (GetRawHeader(request, "Last-Event-Id").empty()) {
+      return ResetSilentStream(request, connection, is_tried_elsewhere);
+    }
+    is_tried_elsewhere = true;
+    std::this_thread::sleep_for(kQueueTime);
+    connection.Write(kNotRun);
+    return false;
+  };
+  RawRunner first(serve);
+  RawRunner second(serve);
+  RunWithRaw({&first, &second}, [&](Harness *harness) {
+    FakeExchange exchange;
+    harness->Call("/long-flow/", &exchange, "8000");
+    EXPECT_TRUE(is_tried_elsewhere);
+    EXPECT_EQ(exchange.m_body, Events(1, 3));
+    EXPECT_TRUE(exchange.m_is_aborted);
+    EXPECT_FALSE(exchange.m_is_complete);
+  });
+}
+
 /** @return the resident memory of this process in bytes. */
 std::size_t GetResidentBytes() {
   std::ifstream file("/proc/self/statm");
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -6,11 +6,13 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <thread>
 #include <vector>
 
 #include "net/fiber_scheduler.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "raw_runner.h"
 
 namespace wasabiwind::net {
 namespace {
@@ -136,6 +138,32 @@
   });
 }
 
+// A check for input took the reset off the socket, and the next read took the
+// end of the connection for the end of a body without length.
+TEST(HttpTest, ResetBeforeACheckForInputIsStillAnError) {
+  RawRunner peer([](int, const std::string &, const RawConnection &connection) {
+    connection.Write("HTTP/1.1 200 OK\r\n\r\npart");
+    std::this_thread::sleep_for(milliseconds(30));
+    connection.Reset();
+    return false;
+  });
+  RunFiberThread([&peer] {
+    HttpClientPool pool;
+    auto start = pool.Start(*ParseEndpoint(peer.Address()),
+                            HttpRequest{"GET", "/", {}, ""}, In(seconds(5)));
+    ASSERT_NE(start.m_call, nullptr);
+    ASSERT_TRUE(start.m_call->ReadHead(In(seconds(5))));
+    std::string part;
+    ASSERT_TRUE(start.m_call->ReadSome(&part, In(seconds(5))));
+    EXPECT_EQ(part, "part");
+    SleepFor(milliseconds(200));
+    EXPECT_FALSE(start.m_call->HasInput());
+    base::Result<bool> more = start.m_call->ReadSome(&part, In(seconds(5)));
+    ASSERT_FALSE(more);
+    EXPECT_EQ(more.error().m_kind, base::ErrorKind::kIo);
+  });
+}
+
 TEST(HttpTest, ReadTimesOut) {
   auto sleep = [](const HttpRequest &, HttpExchange &exchange) {
     SleepFor(milliseconds(300));
