Handle signals for as long as a program runs, also while it drains

Cause: the handlers of SIGTERM, SIGINT and SIGHUP belonged to the wait for the first stop signal. When it returned, the default actions were back for the whole drain, so that SIGHUP or a second SIGTERM ended the process.

Change: SignalWatch handles the three signals until the program has ended. A SIGHUP reloads the settings, also in the grace; further stop signals are logged and ignored. Control hosts, recorders, ww_control, ww_entry and the stand-ins had the same fault and use it too. A SIGHUP in the start no longer ends a program either, and the settings' text is read before the programs listen. The soak sends SIGHUP and SIGTERM to entry hosts that drain, and checks that no program ends by a signal.

--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -79,6 +79,7 @@
   void InjectRunnerFault(const PlannedFault &fault);
   void SendCrashingRequests(const PlannedFault &fault);
   void Kill(Host *host, base::milliseconds downtime, bool deletes_data);
+  void SignalWhileDraining(Host *host);
   void Stop(Host *host, base::milliseconds downtime);
   void Pause(Host *host, base::milliseconds duration);
   void FillDisk(Host *host, base::milliseconds duration);
--- a/soak/soak_run_faults.cpp
+++ b/soak/soak_run_faults.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds kStartupTime{1'000};
 /** Longer than the shutdown grace in the settings of the programs. */
 constexpr milliseconds kStopLimit{7'500};
+/** Between a stop signal and further signals to the same program. */
+constexpr milliseconds kSignalPause{600};
 constexpr milliseconds kLinkDelay{150};
 constexpr milliseconds kDrainTime{2'500};
 constexpr rlim_t kFullDiskBytes = 1;
@@ -273,6 +275,17 @@
   }
 }
 
+/** Changes the settings of an entry host that is draining, and has it stopped
+ * once more. */
+void SoakRun::SignalWhileDraining(Host *host) {
+  net::SleepFor(kSignalPause);
+  ++host->m_control_list_offset;
+  WriteSettings(*host, /*is_first_start=*/false);
+  host->m_process.Signal(SIGHUP);
+  net::SleepFor(kSignalPause);
+  host->m_process.Signal(SIGTERM);
+}
+
 /** Stops a program with SIGTERM. An entry host must finish its requests first,
  * so its disturbance begins only when it has exited. */
 void SoakRun::Stop(Host *host, milliseconds downtime) {
@@ -282,6 +295,7 @@
     RecordDisturbance(*host, Clock::now() + downtime + kStartupTime);
   host->m_process.Signal(SIGTERM);
   TimePoint limit = Clock::now() + kStopLimit;
+  if (host->m_is_entry) SignalWhileDraining(host);
   while (host->m_process.IsRunning() && Clock::now() < limit) {
     net::SleepFor(kPollInterval);
   }
@@ -290,6 +304,9 @@
                               host->m_name + " didn't stop in time");
     host->m_process.Signal(SIGKILL);
     WaitForExit(host);
+  } else if (auto status = host->m_process.Poll(); status->m_signal != 0) {
+    m_monitor.ReportViolation("planned stops",
+                              host->m_name + " ended by " + status->ToString());
   }
   RecordDisturbance(*host, Clock::now() + downtime + kStartupTime);
   net::SleepFor(downtime);
--- a/src/control/server.cpp
+++ b/src/control/server.cpp
@@ -22,6 +22,7 @@
 #include "net/envelope_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/program_func.h"
+#include "net/signal_watch.h"
 #include "replica/log_func.h"
 
 ABSL_FLAG(bool, format, false,
@@ -259,6 +260,7 @@
 }
 
 base::Result<void> ControlServer::RunUntilStopSignal() {
+  net::SignalWatch signals;
   base::Result<void> result;
   boost::fibers::fiber transport([this] {
     m_transport->Run([this](const std::string &message) { Receive(message); });
@@ -277,7 +279,7 @@
   boost::fibers::fiber services([this] {
     if (m_services != nullptr) m_services->Run();
   });
-  net::WaitForStopSignal();
+  signals.WaitForStop();
   LogEvent(LogLevel::kInfo, "stopping");
   if (m_services != nullptr) m_services->Stop();
   services.join();
--- a/src/entry/ww_entry_main.cpp
+++ b/src/entry/ww_entry_main.cpp
@@ -16,6 +16,7 @@
 #include "entry/standalone_link.h"
 #include "net/fiber_scheduler.h"
 #include "net/program_func.h"
+#include "net/signal_watch.h"
 
 namespace {
 
@@ -178,6 +179,7 @@
 
 /** Serves until a stop signal. @return the exit code */
 int Serve(const gen::EntrySettings &settings, EntryServer *server, Link *link) {
+  net::SignalWatch signals;
   net::AdminHooks hooks;
   hooks.m_check_ready = [server, link] {
     bool is_fresh = link->m_link->IsFresh(Clock::now());
@@ -201,7 +203,7 @@
       net::SleepFor(kTickInterval);
     }
   });
-  net::WaitForStopSignal();
+  signals.WaitForStop();
   StopGracefully(settings, server);
   is_stopped = true;
   ticks.join();
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -28,6 +28,7 @@
 #include "net/message_transport.h"
 #include "net/program_func.h"
 #include "net/settings_watch.h"
+#include "net/signal_watch.h"
 
 namespace wasabiwind::fleet_control {
 
@@ -532,6 +533,7 @@
 }
 
 void FleetControl::RunUntilStopSignal(net::SettingsWatch *watch) {
+  net::SignalWatch signals([watch] { watch->Check(); });
   boost::fibers::fiber transport([this] {
     m_transport->Run([this](const std::string &message) { Receive(message); });
   });
@@ -546,7 +548,7 @@
   LogEvent(LogLevel::kInfo, "started",
            {{"host", m_self.operators_address()},
             {"first_start", m_settings.group().is_first_start()}});
-  net::WaitForStopSignal([watch] { watch->Check(); });
+  signals.WaitForStop();
   LogEvent(LogLevel::kInfo, "stopping");
   m_is_stopped = true;
   watch->Stop();
@@ -585,22 +587,20 @@
     return 2;
   }
   FleetControl control(settings, &protocol);
+  net::SettingsWatch watch(
+      net::GetSettingsPath(), [&control](const std::string &path) {
+        gen::FleetControlSettings changed;
+        base::Result<void> loaded = base::LoadSettings(path, &changed);
+        if (loaded) control.Reload(changed);
+        return loaded;
+      });
   if (base::Result<void> started = control.Start(); !started) {
     LogEvent(LogLevel::kError, "start_failed",
              {{"error", started.error().ToString()}});
     base::ShutDownLog();
     return 1;
   }
-  net::RunFiberThread([&] {
-    net::SettingsWatch watch(
-        net::GetSettingsPath(), [&control](const std::string &path) {
-          gen::FleetControlSettings changed;
-          base::Result<void> loaded = base::LoadSettings(path, &changed);
-          if (loaded) control.Reload(changed);
-          return loaded;
-        });
-    control.RunUntilStopSignal(&watch);
-  });
+  net::RunFiberThread([&] { control.RunUntilStopSignal(&watch); });
   base::ShutDownLog();
   return 0;
 }
--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -18,6 +18,7 @@
 #include "net/message_transport.h"
 #include "net/program_func.h"
 #include "net/settings_watch.h"
+#include "net/signal_watch.h"
 
 namespace wasabiwind::gateway {
 
@@ -225,6 +226,7 @@
 }
 
 void EntryProgram::RunUntilStopped(net::SettingsWatch *watch) {
+  net::SignalWatch signals([watch] { watch->Check(); });
   boost::fibers::fiber transport([this] {
     m_transport->Run([this](const std::string &message) { Receive(message); });
   });
@@ -246,7 +248,7 @@
   boost::fibers::fiber settings([watch] { watch->Run(); });
   LogEvent(LogLevel::kInfo, "started",
            {{"callers", m_settings.callers().listen()}});
-  net::WaitForStopSignal([watch] { watch->Check(); });
+  signals.WaitForStop();
   LogEvent(LogLevel::kInfo, "stopping");
   Drain();
   if (m_gateway.CountActiveRequests() != 0) {
@@ -288,12 +290,6 @@
   int code = 0;
   net::RunFiberThread([&] {
     EntryProgram program(settings, &protocol);
-    if (base::Result<void> started = program.Start(); !started) {
-      LogEvent(LogLevel::kError, "start_failed",
-               {{"error", started.error().ToString()}});
-      code = 1;
-      return;
-    }
     net::SettingsWatch watch(
         net::GetSettingsPath(), [&program](const std::string &path) {
           gen::FleetEntrySettings changed;
@@ -301,6 +297,12 @@
           if (loaded) program.Reload(changed);
           return loaded;
         });
+    if (base::Result<void> started = program.Start(); !started) {
+      LogEvent(LogLevel::kError, "start_failed",
+               {{"error", started.error().ToString()}});
+      code = 1;
+      return;
+    }
     program.RunUntilStopped(&watch);
   });
   base::ShutDownLog();
--- a/src/net/program.cpp
+++ b/src/net/program.cpp
@@ -3,15 +3,14 @@
 #include <absl/flags/flag.h>
 #include <fmt/format.h>
 
-#include <boost/asio/signal_set.hpp>
 #include <cstdio>
 
 #include "base/log_func.h"
 #include "base/metrics_func.h"
 #include "base/settings_func.h"
-#include "net/fiber_scheduler.h"
 #include "net/program_func.h"
 #include "net/settings_watch.h"
+#include "net/signal_watch.h"
 
 ABSL_FLAG(std::string, config, "", "path of the INI settings file");
 ABSL_FLAG(bool, check, false, "check the settings file and exit");
@@ -23,6 +22,7 @@
 std::optional<int> InitializeProgram(int argc, char **argv,
                                      const ProgramInfo &info,
                                      google::protobuf::Message *settings) {
+  IgnoreReloadSignal();
   ParseFlags(argc, argv, info);
   std::string path = absl::GetFlag(FLAGS_config);
   if (path.empty()) {
@@ -41,23 +41,6 @@
   return std::nullopt;
 }
 
-void WaitForStopSignal(const std::function<void()> &on_reload) {
-  boost::asio::signal_set signals(CurrentIoContext(), SIGTERM, SIGINT, SIGHUP);
-  int received = SIGHUP;
-  while (received == SIGHUP) {
-    IoWaiter waiter;
-    signals.async_wait(
-        [&waiter, &received](boost::system::error_code error, int number) {
-          received = error ? SIGTERM : number;
-          waiter.Handler()(error);
-        });
-    waiter.Wait();
-    if (received != SIGHUP) break;
-    base::LogEvent(base::LogLevel::kInfo, "reload_requested");
-    if (on_reload) on_reload();
-  }
-}
-
 HttpHandler MakeAdminHandler(const AdminHooks &hooks) {
   return [hooks](const HttpRequest &request, HttpExchange &exchange) {
     HttpResponse response;
--- a/src/net/program_func.h
+++ b/src/net/program_func.h
@@ -17,7 +17,8 @@
 
 /**
  * Parses the command line (--config, --check, --help, --version) and reads
- * the settings file. Prints errors on stderr.
+ * the settings file. Prints errors on stderr. From here on a SIGHUP doesn't end
+ * the process.
  * @param[out] settings filled from the file that --config names
  * @return the exit code if the program must end now
  * @pre called once, at the start of main
@@ -26,14 +27,6 @@
                                      const ProgramInfo &info,
                                      google::protobuf::Message *settings);
 
-/**
- * Suspends the calling fiber until SIGTERM or SIGINT. SIGHUP doesn't end the
- * program: it asks for a reload of the settings file.
- * @param on_reload called in this fiber after each SIGHUP; may be empty
- * @pre called inside RunFiberThread, on one thread only
- */
-void WaitForStopSignal(const std::function<void()> &on_reload = {});
-
 /** Callbacks of the admin server, called on its thread. */
 struct AdminHooks {
   /** @return an empty string if ready, else the reason why not. */
--- a/src/recorder/recorder_main.cpp
+++ b/src/recorder/recorder_main.cpp
@@ -3,12 +3,12 @@
 #include <recorder_settings.pb.h>
 
 #include <boost/fiber/fiber.hpp>
-#include <csignal>
 #include <cstdio>
 
 #include "base/log_func.h"
 #include "net/fiber_scheduler.h"
 #include "net/program_func.h"
+#include "net/signal_watch.h"
 #include "recorder/recorder_server.h"
 
 namespace wasabiwind::recorder {
@@ -49,6 +49,7 @@
 
 /** Serves until a signal, or until the log can't be written. */
 int RunServer(const gen::RecorderSettings &settings, RecorderServer *server) {
+  net::SignalWatch signals;
   net::AdminHooks hooks;
   hooks.m_check_ready = [server] { return server->CheckReady(); };
   auto admin = net::StartAdminServer(settings.admin(), hooks);
@@ -58,10 +59,9 @@
   base::Result<void> result;
   boost::fibers::fiber server_fiber([&] {
     result = server->Run();
-    // Ends WaitForStopSignal, the only other wait of this program.
-    if (!result) std::raise(SIGTERM);
+    if (!result) signals.RequestStop();
   });
-  net::WaitForStopSignal();
+  signals.WaitForStop();
   server->Stop();
   server_fiber.join();
   admin_server->Stop();
--- a/src/standin/program.cpp
+++ b/src/standin/program.cpp
@@ -4,6 +4,7 @@
 
 #include "base/log_func.h"
 #include "net/fiber_scheduler.h"
+#include "net/signal_watch.h"
 #include "standin/program_func.h"
 
 namespace wasabiwind::standin {
@@ -24,6 +25,7 @@
 }
 
 void ServeUntilStopped(const ProgramParts &parts) {
+  net::SignalWatch signals;
   boost::fibers::fiber serving([&parts] { parts.m_server->Serve(); });
   boost::fibers::fiber admin([&parts] { parts.m_admin->Serve(); });
   boost::fibers::fiber announcing([&parts] {
@@ -32,7 +34,7 @@
   boost::fibers::fiber timers([&parts] {
     if (parts.m_run_timers) parts.m_run_timers();
   });
-  net::WaitForStopSignal();
+  signals.WaitForStop();
   base::LogEvent(base::LogLevel::kInfo, "stopping");
   if (parts.m_announcer != nullptr) {
     bool is_silent = parts.m_is_silent_leave && parts.m_is_silent_leave();
--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -1,4 +1,5 @@
 ww_add_test(net_fiber_test ww_net_lib)
 ww_add_test(net_http_test ww_net_lib)
+ww_add_test(net_signal_test ww_net_lib)
 ww_add_test(net_message_test ww_net_lib ww_scenario_lib)
 ww_add_test(net_datagram_test ww_net_lib)
