Follow control hosts that were replaced last, and don't wait for them

Cause: an entry host that leaves its control host tried replaced ones first, for 1.5 s each. Entry hosts kept what former publishers had told, and ranked seeds of the settings that no one tells of like living hosts.

Change: control hosts judge by the members of the replicated group and forget others after 2 s of silence. Entry hosts prefer control hosts of which their publisher tells, once they have all its facts, and drop the rest 30 s later. While nothing comes from a newly followed one, others are tried beside it, one each 600 ms, two at most.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -30,16 +30,82 @@
   return out;
 }
 
-/** Removes control hosts whose last message is older than kPublisherRetention.
- * Hosts that have never sent one are kept. A follower of one publisher hears
- * from it which others are silent. */
+/** @return how long a control host may be silent. One that was replaced isn't a
+ * member of the group any more and won't come back. */
+base::milliseconds GetRetention(const Follower &follower,
+                                const std::string &publisher) {
+  bool is_former = !follower.m_group_members.empty() &&
+                   !follower.m_group_members.contains(publisher);
+  return is_former ? kFormerMemberRetention : kPublisherRetention;
+}
+
+/** @return whether the publisher whose facts hold tells of a control host, or
+ * hasn't sent all its facts yet. One that only a former publisher told of may
+ * be gone for good. */
+bool IsToldOf(const Follower &follower, const std::string &endpoint) {
+  if (!follower.m_has_all_facts) return true;
+  auto found = follower.m_told_by.find(endpoint);
+  return found != follower.m_told_by.end() &&
+         found->second == follower.m_fact_source;
+}
+
+/** Records which control hosts a publisher tells of. */
+void RecordToldOf(Follower *follower, const std::string &publisher,
+                  const gen::FactUpdate &update, base::TimePoint now) {
+  if (follower->m_fact_source != publisher) {
+    follower->m_fact_source = publisher;
+    follower->m_fact_source_since = now;
+    follower->m_has_all_facts = false;
+  }
+  for (const gen::Fact &fact : update.facts()) {
+    if (!fact.has_control()) continue;
+    follower->m_told_by[fact.control().endpoint()] = publisher;
+  }
+}
+
+/** Removes control hosts of which the publisher hasn't told for
+ * kPublisherRetention. */
+void ForgetUntoldControlHosts(Follower *follower, base::TimePoint now) {
+  if (now <= follower->m_fact_source_since + kPublisherRetention) return;
+  absl::erase_if(follower->m_view.m_control_hosts, [&](const auto &item) {
+    return !IsToldOf(*follower, item.second.endpoint());
+  });
+  std::erase_if(follower->m_told_by, [follower](const auto &item) {
+    return item.second != follower->m_fact_source;
+  });
+}
+
+/** @return when a control host was last heard; one that was never heard counts
+ * from when this host learned of it. */
+base::TimePoint GetHeardAt(Follower *follower, const std::string &publisher,
+                           base::TimePoint now) {
+  auto found = follower->m_view.m_publishers.find(publisher);
+  bool is_heard = found != follower->m_view.m_publishers.end() &&
+                  found->second.m_heard_at != base::TimePoint();
+  if (is_heard) return found->second.m_heard_at;
+  return follower->m_learned_at.try_emplace(publisher, now).first->second;
+}
+
+/** Removes control hosts that have been silent for longer than their retention.
+ * Other control hosts go on to tell of one that was replaced. A follower of one
+ * publisher hears from it which others are silent. */
 void ForgetSilentPublishers(Follower *follower, base::TimePoint now) {
-  if (follower->m_mode == FollowMode::kNearest) return;
-  FleetView &view = follower->m_view;
-  absl::erase_if(view.m_control_hosts, [&](const auto &item) {
-    auto found = view.m_publishers.find(item.second.endpoint());
-    return found != view.m_publishers.end() &&
-           now > found->second.m_heard_at + kPublisherRetention;
+  if (follower->m_mode == FollowMode::kNearest) {
+    ForgetUntoldControlHosts(follower, now);
+    return;
+  }
+  auto &control_hosts = follower->m_view.m_control_hosts;
+  absl::erase_if(control_hosts, [&](const auto &item) {
+    const std::string &endpoint = item.second.endpoint();
+    if (endpoint == follower->m_own_endpoint) return false;
+    return now > GetHeardAt(follower, endpoint, now) +
+                     GetRetention(*follower, endpoint);
+  });
+  std::erase_if(follower->m_learned_at, [&control_hosts](const auto &item) {
+    return std::none_of(control_hosts.begin(), control_hosts.end(),
+                        [&item](const auto &control) {
+                          return control.second.endpoint() == item.first;
+                        });
   });
 }
 
@@ -105,7 +171,13 @@
 }
 
 /** Distance of a publisher, as far as it is known. */
-enum class Distance : std::uint8_t { kDomain, kRegion, kOther, kEnd };
+enum class Distance : std::uint8_t {
+  kDomain,
+  kRegion,
+  kOther,
+  kUnknown,  ///< the publisher doesn't tell of it; it may be gone for good
+  kEnd,
+};
 
 Distance GetDistance(const Follower &follower, const std::string &domain) {
   if (domain == follower.m_own_domain) return Distance::kDomain;
@@ -118,12 +190,13 @@
 std::vector<PublisherCandidate> RankPublishers(const Follower &follower) {
   std::map<std::string, Distance> distances;
   for (const std::string &endpoint : ListPublishers(follower)) {
-    distances[endpoint] = Distance::kOther;
+    distances[endpoint] = Distance::kUnknown;
   }
   for (const auto &[name, control] : follower.m_view.m_control_hosts) {
     auto found = distances.find(control.endpoint());
-    if (found == distances.end()) continue;
-    found->second = GetDistance(follower, control.domain());
+    bool is_known =
+        found != distances.end() && IsToldOf(follower, control.endpoint());
+    if (is_known) found->second = GetDistance(follower, control.domain());
   }
   std::vector<std::tuple<Distance, std::uint64_t, std::string>> ranked;
   for (const auto &[endpoint, distance] : distances) {
@@ -235,8 +308,10 @@
 
 std::set<std::string> ListFollowed(const Follower &follower) {
   if (follower.m_mode == FollowMode::kAll) return ListPublishers(follower);
-  std::set<std::string> followed = {follower.m_choice.m_current,
-                                    follower.m_choice.m_probe};
+  std::set<std::string> followed = {follower.m_choice.m_current};
+  for (const auto &[endpoint, since] : follower.m_choice.m_probes) {
+    followed.insert(endpoint);
+  }
   followed.erase("");
   return followed;
 }
@@ -283,7 +358,12 @@
   UpdateChoice(follower, now, &result.m_messages);
   bool is_current = IsCurrent(*follower, from);
   if (is_current) {
+    RecordToldOf(follower, from, update, now);
     outcome = ApplyFactUpdate(&follower->m_view, from, update, now);
+    // A list that is cut has to be acknowledged.
+    if (outcome.m_is_complete && !update.must_acknowledge()) {
+      follower->m_has_all_facts = true;
+    }
   }
   result.m_changed_upstreams = std::move(outcome.m_changed_upstreams);
   std::uint64_t announced =
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -35,6 +35,19 @@
   std::uint64_t m_quarantine_version = 0;
   /** Message endpoints of the control hosts that the settings name. */
   std::set<std::string> m_seeds;
+  /** Message endpoints of the members of the replicated group, as far as this
+   * host knows them. Used by FollowMode::kAll. */
+  std::set<std::string> m_group_members;
+  /** By endpoint of a control host: when this host learned of it. Used by
+   * FollowMode::kAll. */
+  std::map<std::string, base::TimePoint> m_learned_at;
+  /** Publisher whose facts were merged last, and since when. Used by
+   * FollowMode::kNearest. */
+  std::string m_fact_source;
+  base::TimePoint m_fact_source_since;
+  bool m_has_all_facts = false;  ///< of m_fact_source
+  /** By endpoint of a control host: the publisher that told of it last. */
+  std::map<std::string, std::string> m_told_by;
   /** Failure domains whose control hosts are asked for route tables first. */
   std::set<std::string> m_near_domains;
   /** Time of the last request, by publisher. */
@@ -58,6 +71,9 @@
 /** A publisher that isn't a seed is removed after this long without messages.
  */
 inline constexpr base::milliseconds kPublisherRetention{30'000};
+/** The same for one that is no member of the replicated group. Longer than the
+ * pause of a host that joins. */
+inline constexpr base::milliseconds kFormerMemberRetention{2'000};
 /** Minimum time between two requests for the route table, whichever publishers
  * they go to. */
 inline constexpr base::milliseconds kRoutesRetryDelay{300};
--- a/src/fleet/publisher_choice.cpp
+++ b/src/fleet/publisher_choice.cpp
@@ -48,7 +48,7 @@
             base::TimePoint now) {
   choice->m_current = endpoint;
   choice->m_current_since = now;
-  choice->m_probe.clear();
+  choice->m_probes.erase(endpoint);
 }
 
 /** Gives up a current candidate that failed, and clears its failures when it
@@ -69,18 +69,18 @@
   }
 }
 
-/** Follows the first candidate that may be tried; if none may, the one that
- * may be tried first. */
+/** Follows the first candidate that may be tried, rather one that isn't probed
+ * without an answer; if none may, the one that may be tried first. */
 void ChooseCurrent(PublisherChoice *choice,
                    const std::vector<PublisherCandidate> &candidates,
                    base::TimePoint now) {
   if (!choice->m_current.empty() || candidates.empty()) return;
   const PublisherCandidate *chosen = nullptr;
   for (const PublisherCandidate &candidate : candidates) {
-    if (MayTry(*choice, candidate.m_endpoint, now)) {
-      chosen = &candidate;
-      break;
-    }
+    if (!MayTry(*choice, candidate.m_endpoint, now)) continue;
+    bool is_probed = choice->m_probes.contains(candidate.m_endpoint);
+    if (chosen == nullptr || !is_probed) chosen = &candidate;
+    if (!is_probed) break;
   }
   if (chosen == nullptr) {
     chosen = &*std::min_element(
@@ -103,31 +103,68 @@
   return false;
 }
 
-/** Moves to the probed candidate if it answers; else probes the next one that
- * is preferred to the current one. */
+/** @return whether nothing came from the current candidate since it was chosen.
+ */
+bool IsCurrentSilent(const PublisherChoice &choice,
+                     const std::vector<PublisherCandidate> &candidates) {
+  const PublisherCandidate *current =
+      FindCandidate(candidates, choice.m_current);
+  return current != nullptr && current->m_heard_at < choice.m_current_since;
+}
+
+/** Moves to the first probed candidate that has answered, and gives up those
+ * that failed. @return whether the choice has moved */
+bool CheckProbes(PublisherChoice *choice,
+                 const std::vector<PublisherCandidate> &candidates,
+                 base::TimePoint now) {
+  for (const PublisherCandidate &candidate : candidates) {
+    auto probe = choice->m_probes.find(candidate.m_endpoint);
+    if (probe == choice->m_probes.end()) continue;
+    if (HasAnswered(candidate, probe->second)) {
+      choice->m_failures.erase(candidate.m_endpoint);
+      Follow(choice, candidate.m_endpoint, now);
+      choice->m_probes.clear();
+      return true;
+    }
+    if (HasFailed(candidate, probe->second, now)) {
+      RecordFailure(choice, candidate.m_endpoint, now);
+      choice->m_probes.erase(probe);
+    }
+  }
+  return false;
+}
+
+/** Probes the first candidate that is preferred to the current one, and no
+ * other. */
 void ProbePreferred(PublisherChoice *choice,
                     const std::vector<PublisherCandidate> &candidates,
                     base::TimePoint now) {
   // The order changes when more becomes known of the candidates.
-  if (!IsPreferred(candidates, choice->m_probe, choice->m_current)) {
-    choice->m_probe.clear();
-  }
-  const PublisherCandidate *probe = FindCandidate(candidates, choice->m_probe);
-  if (probe != nullptr && HasAnswered(*probe, choice->m_probe_since)) {
-    choice->m_failures.erase(probe->m_endpoint);
-    Follow(choice, probe->m_endpoint, now);
-  } else if (probe != nullptr &&
-             HasFailed(*probe, choice->m_probe_since, now)) {
-    RecordFailure(choice, probe->m_endpoint, now);
-    choice->m_probe.clear();
-  } else if (probe != nullptr) {
-    return;
-  }
+  std::erase_if(choice->m_probes, [&](const auto &probe) {
+    return !IsPreferred(candidates, probe.first, choice->m_current);
+  });
+  if (!choice->m_probes.empty()) return;
   for (const PublisherCandidate &candidate : candidates) {
     if (candidate.m_endpoint == choice->m_current) return;
     if (!MayTry(*choice, candidate.m_endpoint, now)) continue;
-    choice->m_probe = candidate.m_endpoint;
-    choice->m_probe_since = now;
+    choice->m_probes[candidate.m_endpoint] = now;
+    return;
+  }
+}
+
+/** Probes one more candidate for each kProbeInterval in which nothing came from
+ * the current one: it may be gone for good. */
+void ProbeAlternatives(PublisherChoice *choice,
+                       const std::vector<PublisherCandidate> &candidates,
+                       base::TimePoint now) {
+  auto wanted = static_cast<std::size_t>((now - choice->m_current_since) /
+                                         kProbeInterval);
+  if (choice->m_probes.size() >= std::min(wanted, kMaxProbes)) return;
+  for (const PublisherCandidate &candidate : candidates) {
+    bool is_asked = candidate.m_endpoint == choice->m_current ||
+                    choice->m_probes.contains(candidate.m_endpoint);
+    if (is_asked || !MayTry(*choice, candidate.m_endpoint, now)) continue;
+    choice->m_probes[candidate.m_endpoint] = now;
     return;
   }
 }
@@ -140,9 +177,17 @@
   std::erase_if(choice->m_failures, [&candidates](const auto &item) {
     return FindCandidate(candidates, item.first) == nullptr;
   });
+  std::erase_if(choice->m_probes, [&candidates](const auto &item) {
+    return FindCandidate(candidates, item.first) == nullptr;
+  });
   CheckCurrent(choice, candidates, now);
   ChooseCurrent(choice, candidates, now);
-  ProbePreferred(choice, candidates, now);
+  if (CheckProbes(choice, candidates, now)) return;
+  if (IsCurrentSilent(*choice, candidates)) {
+    ProbeAlternatives(choice, candidates, now);
+  } else {
+    ProbePreferred(choice, candidates, now);
+  }
 }
 
 }  // namespace wasabiwind::fleet
--- a/src/fleet/publisher_choice_func.h
+++ b/src/fleet/publisher_choice_func.h
@@ -4,6 +4,8 @@
  * work of control hosts grows with the number of entry hosts and not with its
  * product with their own number. It goes on to another one when the followed
  * one falls silent or has no leader, and back when a nearer one works again.
+ * One that doesn't answer at all may be gone for good, so that others are tried
+ * beside it.
  */
 
 #ifndef WASABIWIND_FLEET_PUBLISHER_CHOICE_FUNC_H_
@@ -34,9 +36,9 @@
 struct PublisherChoice {
   std::string m_current;  ///< followed, "" if there is no candidate
   base::TimePoint m_current_since;
-  /** A nearer candidate that is followed as well until it answers, or "". */
-  std::string m_probe;
-  base::TimePoint m_probe_since;
+  /** Candidates that are followed as well until one of them answers, and since
+   * when: a nearer one, or others while nothing came from the followed one. */
+  std::map<std::string, base::TimePoint> m_probes;
   std::map<std::string, PublisherFailure> m_failures;  ///< by endpoint
 };
 
@@ -46,6 +48,11 @@
 /** A publisher that knows no leader for this long has failed. Longer than most
  * elections, in which no publisher knows one. */
 inline constexpr base::milliseconds kLeaderlessTime{2'500};
+/** While a newly followed publisher hasn't answered, another one is tried as
+ * well each time this has passed. Longer than most first answers take. */
+inline constexpr base::milliseconds kProbeInterval{600};
+/** Most that are tried beside the followed one: each sends all its facts. */
+inline constexpr std::size_t kMaxProbes = 2;
 inline constexpr base::milliseconds kMinPublisherBackoff{2'000};
 inline constexpr base::milliseconds kMaxPublisherBackoff{16'000};
 
--- a/src/fleet_control/fact_exchange.cpp
+++ b/src/fleet_control/fact_exchange.cpp
@@ -141,6 +141,7 @@
 }
 
 void FactExchange::Tick(base::TimePoint now) {
+  m_follower.m_group_members = m_hooks.m_list_members();
   for (const fleet::OutMessage &out : fleet::TickFollower(&m_follower, now)) {
     SendMessage(out);
   }
--- a/src/fleet_control/fact_exchange.h
+++ b/src/fleet_control/fact_exchange.h
@@ -32,6 +32,9 @@
     /** @return the header, without m_newest_routes_version */
     Publisher::HeaderSource m_get_header;
     Publisher::StateSource m_get_state;
+    /** @return message endpoints of the members of the replicated group; empty
+     * if they aren't known */
+    std::function<std::set<std::string>()> m_list_members;
     /** Called when the view of upstreams changed through another host. */
     std::function<void()> m_on_upstreams_changed;
   };
--- a/src/fleet_control/replication_group.cpp
+++ b/src/fleet_control/replication_group.cpp
@@ -58,6 +58,15 @@
   return fleet::MakeMessageEndpoint(host, m_settings.network().message_port());
 }
 
+std::set<std::string> ReplicationGroup::ListMemberEndpoints() const {
+  std::set<std::string> endpoints;
+  if (m_node == nullptr) return endpoints;
+  for (const replica::Member &member : m_node->GetState().m_members) {
+    endpoints.insert(member.m_endpoint);
+  }
+  return endpoints;
+}
+
 replica::Members ReplicationGroup::MakeInitialMembers() const {
   replica::Members members;
   for (const std::string &host :
--- a/src/fleet_control/replication_group.h
+++ b/src/fleet_control/replication_group.h
@@ -68,6 +68,10 @@
   /** @return operators' address of the leader, or "" if unknown. */
   std::string GetLeader() const;
 
+  /** @return message endpoints of the members; empty while the files aren't
+   * open. */
+  std::set<std::string> ListMemberEndpoints() const;
+
   /** @return message endpoint of the host with this operators' address. */
   std::string GetEndpoint(const std::string &host) const;
 
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -275,6 +275,7 @@
   hooks.m_get_state = [this]() -> const gen::StoredRouteTable & {
     return m_route_state.GetStored();
   };
+  hooks.m_list_members = [this] { return m_group->ListMemberEndpoints(); };
   hooks.m_on_upstreams_changed = [this] { m_residency->RequestPlan(); };
   return hooks;
 }
--- a/tests/fleet_publisher_choice_test.cpp
+++ b/tests/fleet_publisher_choice_test.cpp
@@ -35,7 +35,7 @@
       UpdatePublisherChoice(&m_choice, m_candidates, At(ms));
       for (PublisherCandidate &candidate : m_candidates) {
         bool is_asked = candidate.m_endpoint == m_choice.m_current ||
-                        candidate.m_endpoint == m_choice.m_probe;
+                        m_choice.m_probes.contains(candidate.m_endpoint);
         if (!is_asked) continue;
         if (Contains(answering, candidate)) {
           candidate.m_heard_at = candidate.m_led_at = At(ms + 20);
@@ -114,6 +114,33 @@
   EXPECT_EQ(choosing.m_choice.m_current, kFar);
 }
 
+// A host whose control host was cut off waited for 1.5 s for each one that had
+// been replaced before it tried the next. (review/4: it used an old table.)
+TEST(PublisherChoiceTest, DoesNotWaitForOneThatIsGone) {
+  Choosing choosing;
+  choosing.Run(0, 1'000, {kNear});
+  choosing.Run(1'000, 2'400, {kFar});
+  ASSERT_EQ(choosing.m_choice.m_current, kNear);
+  choosing.Run(2'400, 3'300, {kFar});
+  EXPECT_EQ(choosing.m_choice.m_current, kFar);
+}
+
+// Trying all at once would make each control host send all facts to each entry
+// host.
+TEST(PublisherChoiceTest, TriesOthersOneAfterAnother) {
+  Choosing choosing;
+  choosing.Run(0, 550, {});
+  EXPECT_TRUE(choosing.m_choice.m_probes.empty());
+  choosing.Run(550, 1'100, {});
+  EXPECT_EQ(choosing.m_choice.m_probes.size(), 1u);
+  choosing.Run(1'100, 1'400, {});
+  EXPECT_EQ(choosing.m_choice.m_probes.size(), 2u);
+  choosing.Run(1'400, 1'480, {kMiddle});
+  EXPECT_EQ(choosing.m_choice.m_current, kMiddle);
+  // The nearer one is tried again, and no other one.
+  EXPECT_LE(choosing.m_choice.m_probes.size(), 1u);
+}
+
 gen::FactUpdate MakeUpdate(const char *leader) {
   gen::FactUpdate update;
   update.set_publisher_epoch(1);
@@ -275,6 +302,97 @@
   EXPECT_TRUE(returns);
 }
 
+// The settings name control hosts that were replaced long ago: they were tried
+// before those that work. (review/4)
+TEST(EntryFollowerTest, FollowsSeedsLastThatNoControlHostTellsOf) {
+  for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+    Follower follower = MakeEntryFollower();
+    follower.m_own_name = name;
+    follower.m_seeds = {"10.0.0.7:7000", "10.0.0.8:7000", "10.0.0.9:7000",
+                        kNear};
+    for (int ms = 0; ms < 2'000; ms += 50) {
+      TickFollower(&follower, At(ms));
+      HandleFactUpdate(&follower, kNear, MakeUpdate(kFar), At(ms + 20));
+    }
+    ASSERT_EQ(follower.m_choice.m_current, kNear);
+    int ms = 2'000;
+    for (; ms < 6'000 && follower.m_choice.m_current == kNear; ms += 50) {
+      TickFollower(&follower, At(ms));
+    }
+    EXPECT_EQ(follower.m_choice.m_current, kMiddle) << name;
+  }
+}
+
+// A new control host never heard of one that had been replaced before it came,
+// so that it didn't tell its followers of the end of that one. (review/4)
+TEST(EntryFollowerTest, FollowsOneLastThatOnlyAFormerPublisherToldOf) {
+  constexpr const char *kNew = "10.0.0.4:7000";
+  auto make_new_update = [kNew](const std::string &leader) {
+    gen::FactUpdate update = MakeUpdate(leader.c_str());
+    for (gen::Fact &fact : *update.mutable_facts()) {
+      if (fact.control().endpoint() != kNear) continue;
+      fact.mutable_control()->set_name(kNew);
+      fact.mutable_control()->set_endpoint(kNew);
+    }
+    return update;
+  };
+  for (const char *name : {"e1", "e2", "e3", "e4", "e5", "e6"}) {
+    Follower follower = MakeEntryFollower();
+    follower.m_own_name = name;
+    TickFollower(&follower, At(0));
+    HandleFactUpdate(&follower, kFar, MakeUpdate(kFar), At(20));
+    HandleFactUpdate(&follower, kNear, MakeUpdate(kFar), At(70));
+    ASSERT_EQ(follower.m_choice.m_current, kNear);
+    // The near one is replaced, and the new one loses its leader later.
+    for (int ms = 100; ms < 14'000; ms += 50) {
+      TickFollower(&follower, At(ms));
+      if (ms > 10'000 && follower.m_choice.m_current != kNew) break;
+      for (const std::string &followed : ListFollowed(follower)) {
+        if (followed == kNear) continue;
+        HandleFactUpdate(&follower, followed,
+                         make_new_update(ms < 10'000 ? kFar : ""), At(ms));
+      }
+      if (ms == 9'950) {
+        ASSERT_EQ(follower.m_choice.m_current, kNew) << name;
+      }
+    }
+    EXPECT_EQ(follower.m_choice.m_current, kMiddle) << name;
+  }
+}
+
+// A control host that was replaced counted as one that may come back, so entry
+// hosts tried it for 30 s. (review/4)
+TEST(ControlFollowerTest, ForgetsAReplacedControlHostSoon) {
+  Follower follower;
+  follower.m_own_endpoint = kFar;
+  follower.m_group_members = {kNear, kFar};
+  TickFollower(&follower, At(0));
+  HandleFactUpdate(&follower, kNear, MakeUpdate(kFar), At(20));
+  HandleFactUpdate(&follower, kMiddle, MakeUpdate(kFar), At(20));
+  TickFollower(&follower, At(1'000));
+  EXPECT_TRUE(follower.m_view.m_control_hosts.contains(kMiddle));
+  TickFollower(&follower, At(2'500));
+  EXPECT_FALSE(follower.m_view.m_control_hosts.contains(kMiddle));
+  // A member that is only out of reach may come back.
+  EXPECT_TRUE(follower.m_view.m_control_hosts.contains(kNear));
+}
+
+// One that had been replaced before a control host started was never heard
+// there, and so was told of for ever. (review/4)
+TEST(ControlFollowerTest, ForgetsAReplacedControlHostThatItNeverHeard) {
+  Follower follower;
+  follower.m_own_endpoint = kFar;
+  follower.m_group_members = {kNear, kFar};
+  for (int ms = 0; ms < 3'000; ms += 100) {
+    TickFollower(&follower, At(ms));
+    HandleFactUpdate(&follower, kNear,
+                     ms == 0 ? MakeUpdate(kFar) : gen::FactUpdate(), At(ms));
+  }
+  EXPECT_FALSE(follower.m_view.m_control_hosts.contains(kMiddle));
+  EXPECT_TRUE(follower.m_view.m_control_hosts.contains(kNear));
+  EXPECT_TRUE(follower.m_view.m_control_hosts.contains(kFar));
+}
+
 // A control host that is gone for good must not stay a candidate for ever.
 TEST(EntryFollowerTest, ForgetsControlHostsThatItsPublisherCallsSilent) {
   Follower follower = MakeEntryFollower();
--- a/tests/fleet_simulation.h
+++ b/tests/fleet_simulation.h
@@ -330,6 +330,7 @@
     hooks.m_get_state = [this]() -> const gen::StoredRouteTable & {
       return m_state;
     };
+    hooks.m_list_members = [] { return std::set<std::string>(); };
     hooks.m_on_upstreams_changed = [] {};
     control->m_exchange = std::make_unique<FactExchange>(
         self, base::milliseconds(1'200), std::move(hooks));
