Search each byte of an unfinished event once for its end

Report of other operators: a faulty runner sends without end, and the requests of other callers on that machine end with it.

Cause, one of three: each piece of a stream had the whole unfinished event searched again from its start, and copied. An event without end took work that grows with the square of its size, up to the bound of 1 MiB, from the one thread that serves all callers.

Change: the splitter remembers which bytes it has searched, and keeps the unfinished event in place.

FindsAnEndThatIsCutAnywhere holds the ends that are split between two pieces; it passed before as well.

--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -1,5 +1,6 @@
 /** @file event_stream.cpp Splits a byte stream into server-sent events. */
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 
@@ -10,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+/** The last bytes of a text that may begin the end of an event, which has up to
+ * four bytes. */
+constexpr std::size_t kMaxCutEndBytes = 3;
 
 /** @return the length of the line break at a position, 0 if none is there. */
 std::size_t GetLineEndLength(std::string_view text, std::size_t at) {
@@ -19,9 +23,10 @@
   return is_crlf ? 2 : 0;
 }
 
-/** @return the position after the first empty line, or npos. */
-std::size_t FindEventEnd(std::string_view text) {
-  for (std::size_t at = 0; at < text.size(); ++at) {
+/** @return the position after the first empty line, or npos.
+ * @param from position at or before the end of the line before it */
+std::size_t FindEventEnd(std::string_view text, std::size_t from) {
+  for (std::size_t at = from; at < text.size(); ++at) {
     std::size_t first = GetLineEndLength(text, at);
     if (first == 0) continue;
     std::size_t second = GetLineEndLength(text, at + first);
@@ -52,17 +57,22 @@
 
 bool SplitEvents(EventSplitter *splitter, std::string_view bytes,
                  std::vector<StreamEvent> *events) {
-  splitter->m_partial_event.append(bytes);
-  std::string_view rest = splitter->m_partial_event;
+  std::string &partial = splitter->m_partial_event;
+  partial.append(bytes);
+  std::string_view rest = partial;
+  std::size_t from = splitter->m_searched_bytes;
   while (true) {
-    std::size_t end = FindEventEnd(rest);
+    std::size_t end = FindEventEnd(rest, from);
     if (end == std::string_view::npos) break;
     std::string_view text = rest.substr(0, end);
     events->push_back(StreamEvent{std::string(text), ParseId(text)});
     rest.remove_prefix(end);
+    from = 0;
   }
-  splitter->m_partial_event = std::string(rest);
-  return splitter->m_partial_event.size() <= kMaxEventBytes;
+  partial.erase(0, partial.size() - rest.size());
+  splitter->m_searched_bytes =
+      partial.size() - std::min(partial.size(), kMaxCutEndBytes);
+  return partial.size() <= kMaxEventBytes;
 }
 
 bool IsAtEventBoundary(const EventSplitter &splitter) {
--- a/src/gateway/event_stream_func.h
+++ b/src/gateway/event_stream_func.h
@@ -19,6 +19,7 @@
 /** Buffers the bytes of an incomplete event. */
 struct EventSplitter {
   std::string m_partial_event;
+  std::size_t m_searched_bytes = 0;  ///< in which no event can end
 };
 
 /** A longer event is an error of the upstream. */
--- a/tests/gateway_stream_test.cpp
+++ b/tests/gateway_stream_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "gateway/event_stream_func.h"
+#include "processor_time.h"
 
 namespace wasabiwind::gateway {
 namespace {
@@ -41,6 +42,40 @@
   EXPECT_EQ(events[1].m_id, 7u);
 }
 
+// Each piece of an unfinished event was searched again from its start, so that
+// a runner that sends one without end took the processor time of all requests.
+TEST(EventSplitterTest, WorkForALongEventGrowsWithItsSize) {
+  auto measure = [](std::size_t size) {
+    return tests::MeasureMinimum([size] {
+      const std::string piece(8 * 1024, 'x');
+      EventSplitter splitter;
+      std::vector<StreamEvent> events;
+      tests::ProcessorTime start = tests::GetThreadProcessorTime();
+      for (std::size_t sent = 0; sent < size; sent += piece.size()) {
+        EXPECT_TRUE(SplitEvents(&splitter, piece, &events));
+      }
+      return (tests::GetThreadProcessorTime() - start).count();
+    });
+  };
+  // Eight times the bytes; work that grows with the square takes 64 times.
+  EXPECT_LT(measure(kMaxEventBytes - 8 * 1024), 24 * measure(128 * 1024));
+}
+
+TEST(EventSplitterTest, FindsAnEndThatIsCutAnywhere) {
+  for (const char *end : {"\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n"}) {
+    std::string text = std::string("id: 7\ndata: x") + end;
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+      EventSplitter splitter;
+      std::vector<StreamEvent> events;
+      SplitEvents(&splitter, text.substr(0, cut), &events);
+      SplitEvents(&splitter, text.substr(cut) + "id: 8\n", &events);
+      ASSERT_EQ(events.size(), 1u) << cut;
+      EXPECT_EQ(events[0].m_text, text);
+      EXPECT_FALSE(IsAtEventBoundary(splitter));
+    }
+  }
+}
+
 TEST(EventSplitterTest, RejectsAnEventThatIsTooLong) {
   EventSplitter splitter;
   std::vector<StreamEvent> events;
