Bound unfinished events too, and end the largest answer beyond the bound

Report of other operators: a faulty runner sends without end; the machine that called it runs out of memory, and the requests of its other callers end.

Cause: the bound for all answers that are held counted bodies only. Unfinished events of streams, up to 1 MiB each, had no common bound. Beyond the bound the request that was read next ended, whichever it was, so that a faulty runner's bodies ended sound answers.

Change: bodies and unfinished events, also those of a silent upstream, count together. Beyond the bound the largest answer that is being read ends and is freed at once. The reason of a cancelled attempt no longer stays with the next attempt.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -51,6 +51,8 @@
   scope->m_expected_latency = choice.m_expected_latency;
   scope->m_prefill_tokens = choice.m_prefill_tokens;
   scope->m_attempt = Attempt();
+  if (!m_is_ending_requests) scope->m_cancel_reason = nullptr;
+  UpdateBufferedBytes(scope);
   Attempt &attempt = scope->m_attempt;
   attempt.m_choice = choice;
   attempt.m_sent_at = base::Clock::now();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -138,6 +138,8 @@
   void RelayStream(RequestScope *scope);
   void RecordStreamBytes(RequestScope *scope);
   void RelayFullResponse(RequestScope *scope);
+  RequestScope *FindLargestAnswer() const;
+  void UpdateBufferedBytes(RequestScope *scope);
   bool ForwardEvents(RequestScope *scope, const std::string &bytes);
 
   // gateway_load.cpp
@@ -189,7 +191,7 @@
 
   std::unique_ptr<net::HttpClientPool> m_client;
   std::set<RequestScope *> m_active_requests;
-  std::size_t m_buffered_body_bytes = 0;  ///< of answers that are being read
+  std::size_t m_buffered_bytes = 0;  ///< sum over m_active_requests
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_view_changed;
   base::TimePoint m_use_report_sent_at;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -21,6 +21,9 @@
  * which it was made, answers again. */
 inline constexpr const char *kAnswersAgainReason = "first_upstream_answers";
 
+/** Reason of the end of an attempt whose answer is too long to be held. */
+inline constexpr const char *kAnswerTooLongReason = "answer_too_long";
+
 /** How an attempt ended. */
 enum class AttemptEnd : std::uint8_t {
   kAnswered,  ///< the caller has the whole answer
@@ -82,6 +85,8 @@
   /** An attempt at a silent upstream, kept until another one answers: if none
    * does, the request still depends on it. */
   std::optional<Attempt> m_silent_attempt;
+  /** Of answers, and parts of events, that the caller hasn't got. */
+  std::size_t m_buffered_bytes = 0;
   /** Set if all suitable upstreams pause for longer than the caller waits. */
   base::TimePoint m_pause_ends_at;
 
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -9,29 +9,36 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
-/** For all answers that are being read at the same time. */
-constexpr std::size_t kMaxTotalBodyBytes = 48 << 20;
+/** For all answers, and parts of events, that are held at the same time. */
+constexpr std::size_t kMaxBufferedBytes = 48 << 20;
 /** A stream has stalled after this multiple of its route's max_gap_ms. */
 constexpr int kStallFactor = 3;
 constexpr base::milliseconds kMinStallTime{1'200};
 
-/** Adds the size of one buffer to a total while it is in scope. */
-class BufferedBytesGuard {
- public:
-  explicit BufferedBytesGuard(std::size_t *total) : m_total(total) {}
-  ~BufferedBytesGuard() { *m_total -= m_size; }
-  BufferedBytesGuard(const BufferedBytesGuard &) = delete;
-  BufferedBytesGuard &operator=(const BufferedBytesGuard &) = delete;
-
-  void Update(std::size_t size) {
-    *m_total += size - m_size;
-    m_size = size;
+/** @return bytes of a request's answers that the caller hasn't got. Those of an
+ * attempt that was cancelled are about to be freed. */
+std::size_t CountBufferedBytes(const RequestScope &scope) {
+  if (scope.m_cancel_reason != nullptr) return 0;
+  const Attempt &attempt = scope.m_attempt;
+  std::size_t size = attempt.m_splitter.m_partial_event.size();
+  if (attempt.m_head) size += attempt.m_head->m_body.size();
+  if (scope.m_silent_attempt) {
+    size += scope.m_silent_attempt->m_splitter.m_partial_event.size();
   }
+  return size;
+}
+
+/** Frees what an attempt that was cancelled holds. Its fiber may run only after
+ * others have read more. */
+void FreeAnswer(Attempt *attempt) {
+  attempt->m_splitter = EventSplitter();
+  if (attempt->m_head) std::string().swap(attempt->m_head->m_body);
+}
 
- private:
-  std::size_t *m_total;
-  std::size_t m_size = 0;
-};
+bool IsReadingAnswer(const RequestScope &scope) {
+  return scope.m_attempt.m_call != nullptr &&
+         scope.m_attempt_end != AttemptEnd::kAnswered;
+}
 
 /** @return whether callers take a status to mean that nothing was run. */
 bool ImpliesNotRun(int status) {
@@ -40,6 +47,40 @@
 
 }  // namespace
 
+/** @return the request whose answer holds the most bytes of those that are
+ * being read, or nullptr. */
+RequestScope *Gateway::FindLargestAnswer() const {
+  RequestScope *largest = nullptr;
+  for (RequestScope *scope : m_active_requests) {
+    if (!IsReadingAnswer(*scope) || scope->m_buffered_bytes == 0) continue;
+    if (largest == nullptr ||
+        scope->m_buffered_bytes > largest->m_buffered_bytes) {
+      largest = scope;
+    }
+  }
+  return largest;
+}
+
+/**
+ * Records how many bytes of a request's answers are held. Beyond the bound for
+ * all requests the largest answer ends, so that upstreams that send without end
+ * don't end the answers of sound ones.
+ */
+void Gateway::UpdateBufferedBytes(RequestScope *scope) {
+  std::size_t size = CountBufferedBytes(*scope);
+  m_buffered_bytes += size - scope->m_buffered_bytes;
+  scope->m_buffered_bytes = size;
+  while (m_buffered_bytes > kMaxBufferedBytes) {
+    RequestScope *largest = FindLargestAnswer();
+    if (largest == nullptr) return;
+    m_buffered_bytes -= largest->m_buffered_bytes;
+    largest->m_buffered_bytes = 0;
+    largest->m_cancel_reason = kAnswerTooLongReason;
+    largest->m_attempt.m_call->Cancel();
+    FreeAnswer(&largest->m_attempt);
+  }
+}
+
 /**
  * Forwards complete events to the caller, without those it has already.
  * @return false if the attempt has ended
@@ -141,6 +182,7 @@
     if (!*more) break;
     RecordStreamBytes(scope);
     if (!ForwardEvents(scope, bytes)) return;
+    UpdateBufferedBytes(scope);
   }
   if (!IsAtEventBoundary(attempt.m_splitter) ||
       !attempt.m_has_forwarded_event) {
@@ -157,7 +199,6 @@
   Attempt &attempt = scope->m_attempt;
   net::HttpResponse &head = *attempt.m_head;
   attempt.m_has_begun_answer = true;
-  BufferedBytesGuard buffered{&m_buffered_body_bytes};
   while (true) {
     base::Result<bool> more =
         attempt.m_call->ReadSome(&head.m_body, scope->m_deadline);
@@ -170,10 +211,9 @@
       return;
     }
     if (!*more) break;
-    buffered.Update(head.m_body.size());
-    if (head.m_body.size() > kMaxBodyBytes ||
-        m_buffered_body_bytes > kMaxTotalBodyBytes) {
-      EndAttempt(scope, AttemptEnd::kUnknown, "answer_too_long");
+    UpdateBufferedBytes(scope);
+    if (head.m_body.size() > kMaxBodyBytes) {
+      EndAttempt(scope, AttemptEnd::kUnknown, kAnswerTooLongReason);
       return;
     }
   }
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -127,6 +127,7 @@
 
 ActiveRequestGuard::~ActiveRequestGuard() {
   m_gateway->m_active_requests.erase(m_scope);
+  m_gateway->m_buffered_bytes -= m_scope->m_buffered_bytes;
 }
 
 /**
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <thread>
 
+#include "gateway/event_stream_func.h"
 #include "gateway_harness.h"
 #include "raw_runner.h"
 
@@ -377,6 +378,78 @@
   });
 }
 
+/** Sends one request and adds its outcome to what is running. */
+boost::fibers::fiber StartCall(Harness *harness, const char *path,
+                               const std::string &id, FakeExchange *exchange) {
+  return boost::fibers::fiber(
+      [=] { harness->Call(path, exchange, "3000", "", id); });
+}
+
+// Each stream held up to 1 MiB of an event without end, and nothing bounded
+// their sum: the process ended with the requests of all callers.
+TEST(GatewayFaultyRunnerTest, ManyEventsWithoutEndHaveOneBound) {
+  constexpr int kCallers = 300;
+  // Just short of the bound of one event, so that none of them ends.
+  const std::string part(kMaxEventBytes - 16 * 1024, 'x');
+  RawRunner runner([&part](int, const std::string &request,
+                           const RawConnection &connection) {
+    bool is_written = connection.Write(SignedHead(request, "200 OK")) &&
+                      connection.Write("\r\n") && connection.Write(part);
+    if (!is_written) return false;
+    std::string rest;
+    return RawRunner::ReadRequest(connection.m_socket, &rest);
+  });
+  RunWithRaw({&runner}, [](Harness *harness) {
+    std::size_t before = GetResidentBytes();
+    std::vector<FakeExchange> exchanges(kCallers);
+    std::vector<boost::fibers::fiber> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(StartCall(harness, "/once-flow/",
+                                  "r" + std::to_string(i), &exchanges[i]));
+    }
+    std::size_t highest = before;
+    for (int i = 0; i < 300; ++i) {
+      net::SleepFor(milliseconds(10));
+      highest = std::max(highest, GetResidentBytes());
+    }
+    for (boost::fibers::fiber &caller : callers) caller.join();
+    EXPECT_LT(highest, before + (128u << 20));
+  });
+}
+
+// The bound for all answers ended whichever answer was read next, so that a
+// faulty runner's bytes ended the requests of other callers.
+TEST(GatewayFaultyRunnerTest, LongBodiesWithoutEndDoNotEndSoundAnswers) {
+  constexpr int kFaulty = 3;
+  // Together almost all that may be held.
+  const std::string long_body((16 << 20) - 64 * 1024, 'x');
+  const std::string sound_body(1 << 20, 's');
+  auto serve = [&](int, const std::string &request,
+                   const RawConnection &connection) {
+    if (GetRawHeader(request, "X-Wasabiwind-Request-Id") == "sound") {
+      return connection.Write(SignedAnswer(request, "200 OK", sound_body));
+    }
+    connection.Write(SignedHead(request, "200 OK") + "\r\n" + long_body);
+    std::string rest;
+    return RawRunner::ReadRequest(connection.m_socket, &rest);
+  };
+  RawRunner runner(serve);
+  RunWithRaw({&runner}, [&sound_body](Harness *harness) {
+    std::vector<FakeExchange> exchanges(kFaulty);
+    std::vector<boost::fibers::fiber> faulty;
+    for (int i = 0; i < kFaulty; ++i) {
+      faulty.push_back(StartCall(harness, "/long-safe/",
+                                 "r" + std::to_string(i), &exchanges[i]));
+    }
+    net::SleepFor(milliseconds(1'500));
+    FakeExchange sound;
+    harness->Call("/once/", &sound, "1200", "", "sound");
+    EXPECT_EQ(sound.m_status, 200);
+    EXPECT_TRUE(sound.m_body == sound_body);
+    for (boost::fibers::fiber &fiber : faulty) fiber.join();
+  });
+}
+
 /** An answer, cut where a runner that fails may stop to write. */
 std::vector<std::string> CutAnswers(const std::string &request) {
   std::string head = SignedHead(request, "200 OK");
