Reserve all memory for a model that is no longer declared

Cause: the planner takes the size of a model from the configuration, and counted 0 MB for one that isn't declared, though its runner still holds it.

Change: such a model counts as all memory of its runner, and costs nothing to evict unless it is in use. It is unloaded before another one is loaded.

--- a/src/fleet/residency_cost.cpp
+++ b/src/fleet/residency_cost.cpp
@@ -144,6 +144,9 @@
 double GetEvictionCost(const Pass &pass, const Runner &runner,
                        const std::string &model, double load_ms) {
   TargetKey key{runner.m_service->name(), model, ""};
+  bool is_declared =
+      routes::FindModel(*pass.m_routes, key.m_service, key.m_model) != nullptr;
+  if (!is_declared) return IsInUse(pass, runner, model) ? kInUseCostMs : 0;
   const ModelDemand &demand = GetDemand(pass, key);
   bool is_last = demand.m_copies <= 1;
   double cost = 0;
--- a/src/fleet/residency_internal.h
+++ b/src/fleet/residency_internal.h
@@ -33,7 +33,8 @@
 /** Collects the runners that can receive orders and the demand for models. */
 void CollectFleet(Pass *pass);
 
-/** @return size of a declared model's weights in MB, 0 for other models. */
+/** @return size of a declared model's weights in MB. That of another model
+ * isn't known: it counts as all memory of its runner. */
 double GetWeightsMb(const Pass &pass, const Runner &runner,
                     const std::string &model);
 
--- a/src/fleet/residency_pass.cpp
+++ b/src/fleet/residency_pass.cpp
@@ -182,7 +182,8 @@
                     const std::string &model) {
   const gen::HostedModel *declared =
       routes::FindModel(*pass.m_routes, runner.m_service->name(), model);
-  return declared == nullptr ? 0 : declared->weight_mb();
+  return declared == nullptr ? runner.m_service->engine().weight_mb()
+                             : declared->weight_mb();
 }
 
 double GetCapacityMb(const Runner &runner) {
--- a/tests/fleet_residency_test.cpp
+++ b/tests/fleet_residency_test.cpp
@@ -36,6 +36,44 @@
             actions.m_orders[0].m_model);
 }
 
+// A model that the table no longer declared counted as free memory while its
+// runner still held it, so that the runner was ordered to load too much.
+// (review/3)
+TEST(ResidencyTest, RetiredModelIsUnloadedBeforeAnotherIsLoaded) {
+  PlannerFixture fleet(3);
+  fleet.Report(MakeRunner("i-1", 1, {"m0", "m2"}), At(0));
+  gen::RouteTable table = MakeModelTable(2);
+  table.set_version(2);
+  fleet.m_routes = routes::MakeRouteIndex(std::move(table));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.AnswerStatusQuery("i-1", 0, At(30));
+  ResidencyActions actions = fleet.Plan(At(40));
+  ASSERT_EQ(actions.m_orders.size(), 1u);
+  EXPECT_FALSE(actions.m_orders[0].m_is_load);
+  EXPECT_EQ(actions.m_orders[0].m_model, "m2");
+  RecordOrderOutcome(&fleet.m_planner, actions.m_orders[0],
+                     OrderOutcome::kStarted, At(50));
+  fleet.Report(MakeRunner("i-1", 2, {"m0"}), At(1'000));
+  actions = fleet.Plan(At(1'010));
+  ASSERT_EQ(actions.m_orders.size(), 1u);
+  EXPECT_TRUE(actions.m_orders[0].m_is_load);
+  EXPECT_EQ(actions.m_orders[0].m_model, "m1");
+}
+
+// A retired model may be larger than any that is declared.
+TEST(ResidencyTest, RetiredModelTakesAllMemoryUntilItIsUnloaded) {
+  PlannerFixture fleet(2);
+  fleet.Report(MakeRunner("i-1", 1, {"retired"}), At(0));
+  RecordUse(&fleet.m_planner, MakeUse("m1", "", 1), At(10));
+  fleet.Plan(At(20));
+  fleet.AnswerStatusQuery("i-1", 0, At(30));
+  ResidencyActions actions = fleet.Plan(At(40));
+  ASSERT_EQ(actions.m_orders.size(), 1u);
+  EXPECT_FALSE(actions.m_orders[0].m_is_load);
+  EXPECT_EQ(actions.m_orders[0].m_model, "retired");
+}
+
 // After a leader change, the last known report may be older than a load that
 // the previous leader ordered. The new leader must reserve the memory from the
 // runner's status. (Broke a limit in the run spillsack-core scale-1,
