Send no body in answers to HEAD

Cause: the HTTP server wrote the body of each response, whatever the method of its request was.

Change: the server sends only the head of a response to HEAD, with the length of the body, for whole responses and for chunked ones.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -99,13 +99,16 @@
 
 class ServerExchange : public HttpExchange {
  public:
-  /** @param draining read when the response starts; if true, the connection
+  /** @param is_head_request whether the response has no body
+   * @param draining read when the response starts; if true, the connection
    * closes after it */
   ServerExchange(Connection *connection, const HttpServerOptions &options,
-                 bool keep_alive, const std::atomic<bool> *draining)
+                 bool keep_alive, bool is_head_request,
+                 const std::atomic<bool> *draining)
       : m_connection(connection),
         m_options(options),
         m_keep_alive(keep_alive),
+        m_is_head_request(is_head_request),
         m_draining(draining) {}
 
   base::Result<void> Respond(const HttpResponse &response) override {
@@ -113,6 +116,7 @@
     std::string head = MakeHead(response.m_status, response.m_headers);
     head += fmt::format("Content-Length: {}\r\n\r\n", response.m_body.size());
     m_finished = true;
+    if (m_is_head_request) return Write({asio::buffer(head)});
     return Write({asio::buffer(head), asio::buffer(response.m_body)});
   }
 
@@ -126,6 +130,7 @@
 
   base::Result<void> WriteStream(std::string_view data) override {
     assert(m_started && !m_finished && !data.empty());
+    if (m_is_head_request) return {};
     std::string size = fmt::format("{:x}\r\n", data.size());
     return Write({asio::buffer(size), asio::buffer(data.data(), data.size()),
                   asio::buffer("\r\n", 2)});
@@ -134,6 +139,7 @@
   base::Result<void> EndStream() override {
     assert(m_started && !m_finished);
     m_finished = true;
+    if (m_is_head_request) return {};
     return Write({asio::buffer("0\r\n\r\n", 5)});
   }
 
@@ -206,6 +212,7 @@
   Connection *m_connection;
   const HttpServerOptions &m_options;
   bool m_keep_alive;
+  bool m_is_head_request;
   const std::atomic<bool> *m_draining;
   bool m_started = false;
   bool m_finished = false;
@@ -505,7 +512,7 @@
   int status = GetStatusForReadError(error);
   if (status == 0 || !connection->m_socket.Socket().is_open()) return;
   ServerExchange exchange(connection, m_options, /*keep_alive=*/false,
-                          &m_draining);
+                          /*is_head_request=*/false, &m_draining);
   (void)exchange.Respond(
       MakeJsonResponse(status, MakeReadErrorBody(status, error.message())));
   // Reads and discards what the caller still sends, for a limited time: closing
@@ -528,7 +535,9 @@
     http::request_parser<http::string_body> parser;
     if (!ReadRequest(connection, &parser)) return;
     bool keep_alive = parser.get().keep_alive();
-    ServerExchange exchange(connection, m_options, keep_alive, &m_draining);
+    bool is_head_request = parser.get().method() == http::verb::head;
+    ServerExchange exchange(connection, m_options, keep_alive, is_head_request,
+                            &m_draining);
     ++m_active;
     m_handler(ConvertRequest(parser.release()), exchange);
     if (!exchange.IsFinished()) exchange.Abort();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,6 +19,7 @@
  * Server side of one request, which sends its response. Not thread-safe; used
  * only by the fiber that runs the handler. A handler sends exactly one
  * response: Respond, or BeginStream, any number of WriteStream and EndStream.
+ * The body of a response to HEAD isn't sent.
  * Abstract so that tests can pass a fake.
  */
 class HttpExchange {
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -164,6 +164,41 @@
   });
 }
 
+/** @return a request that keeps the connection, or lets it close. */
+std::string MakeRawRequest(const std::string &method, bool is_last) {
+  return method + " / HTTP/1.1\r\nHost: a\r\nConnection: " +
+         (is_last ? "close" : "keep-alive") + "\r\n\r\n";
+}
+
+// The body of an answer to HEAD was read as the start of the next answer.
+// (review/5)
+TEST(HttpTest, AnswerToHeadHasNoBody) {
+  auto stream = [](const HttpRequest &, HttpExchange &exchange) {
+    (void)exchange.BeginStream(200, {});
+    (void)exchange.WriteStream("GET part");
+    (void)exchange.EndStream();
+  };
+  for (const HttpHandler &handler : {HttpHandler(Echo), HttpHandler(stream)}) {
+    WithServer({}, handler, [](const Endpoint &endpoint) {
+      std::string received = SendRaw(endpoint, MakeRawRequest("HEAD", false) +
+                                                   MakeRawRequest("GET", true));
+      std::size_t end = received.find("\r\n\r\n");
+      ASSERT_NE(end, std::string::npos);
+      EXPECT_EQ(received.compare(end + 4, 9, "HTTP/1.1 "), 0) << received;
+      EXPECT_NE(received.find("GET ", end + 4), std::string::npos);
+      EXPECT_EQ(received.find("HEAD "), std::string::npos);
+    });
+  }
+}
+
+// The length that an answer to GET would have is that of the body.
+TEST(HttpTest, AnswerToHeadTellsTheLengthOfItsBody) {
+  WithServer({}, Echo, [](const Endpoint &endpoint) {
+    std::string received = SendRaw(endpoint, MakeRawRequest("HEAD", true));
+    EXPECT_NE(received.find("Content-Length: 5\r\n"), std::string::npos);
+  });
+}
+
 TEST(HttpTest, ReadTimesOut) {
   auto sleep = [](const HttpRequest &, HttpExchange &exchange) {
     SleepFor(milliseconds(300));
