End requests that are being sent when the grace ends

Callers could see (LOST): a request that was just being sent to a runner at the end of an entry host's grace got no final answer, and was cut by the exit.

Cause: the requests in progress are ended by cancelling the call of their attempt. One whose load query or connection is under way has no call yet and went on until its deadline, which may be later than the exit.

Change: an attempt checks whether the requests are being ended before it sends its request, and again once it has been sent.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -162,6 +162,12 @@
 bool Gateway::SendRequest(RequestScope *scope) {
   const Choice &choice = scope->m_attempt.m_choice;
   base::TimePoint now = base::Clock::now();
+  // This host may have begun to end its requests while the load of runners was
+  // queried, or below while the request is sent.
+  if (m_is_ending_requests) {
+    EndAttempt(scope, AttemptEnd::kNotRun, kStoppingReason);
+    return false;
+  }
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(choice.m_address);
   if (!endpoint) {
     EndAttempt(scope, AttemptEnd::kNotRun, "address_unreadable");
@@ -210,8 +216,13 @@
   }
   scope->m_attempt.m_call = std::move(start.m_call);
   scope->m_attempt.m_is_connection_reused = start.m_is_reused;
-  if (!scope->m_is_caller_gone) return true;
-  EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+  if (scope->m_is_caller_gone) {
+    EndAttempt(scope, AttemptEnd::kCallerGone, "caller_gone");
+  } else if (m_is_ending_requests) {
+    EndAttempt(scope, AttemptEnd::kUnknown, kStoppingReason);
+  } else {
+    return true;
+  }
   return false;
 }
 
--- a/tests/gateway_drain_test.cpp
+++ b/tests/gateway_drain_test.cpp
@@ -53,6 +53,29 @@
   }
 }
 
+// A request that was being sent when the grace ended wasn't ended with the
+// others, and was cut without an answer at the exit.
+TEST(GatewayDrainTest, RequestThatIsBeingSentGetsAFinalAnswer) {
+  for (const char *path : {"/once/", "/safe/", "/flow/", "/once-flow/"}) {
+    RunWith({HoldRequest(), HoldRequest()}, [path](Harness *harness) {
+      FakeExchange exchange;
+      boost::fibers::fiber caller(
+          [&] { harness->Call(path, &exchange, "60000"); });
+      // The caller's fiber runs until it waits for its connection.
+      boost::this_fiber::yield();
+      EXPECT_EQ(harness->CountCalls(), 0);
+      harness->m_gateway.BeginRefusing();
+      base::TimePoint start = base::Clock::now();
+      harness->m_gateway.EndActiveRequests();
+      caller.join();
+      EXPECT_LT(base::Clock::now() - start, milliseconds(300)) << path;
+      EXPECT_EQ(exchange.m_status, 502) << path;
+      EXPECT_TRUE(exchange.m_is_complete) << path;
+      net::SleepFor(milliseconds(50));
+    });
+  }
+}
+
 TEST(GatewayDrainTest, RequestThatWaitsIsRefusedAsNotRun) {
   RunWith({}, [](Harness *harness) {
     FakeExchange exchange;
