Let a longer idle timeout hold for connections that wait

Looked for once more in the code: a change may lengthen the idle timeout of callers' connections, and those that waited for a request kept the shorter one. Callers that follow the new one may send a request just as the connection closes.

Change: when the wait for a request ends, the timeout in force is looked at again, and the wait goes on if it is longer.

Measured: HttpTest.LongerIdleTimeoutHoldsForConnectionsThatWait failed before (the connection was closed after 0.2 s though 5 s were in force) and passes now, with all 21 tests of the HTTP server and client.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -309,6 +309,7 @@
   void StartConnection(ServeThread *thread, tcp::socket socket);
   void AcceptQueued(ServeThread *thread);
   void ServeConnection(ServeThread *thread, Connection *connection);
+  beast::error_code AwaitRequest(Connection *connection, RequestParser *parser);
   bool ReadRequest(Connection *connection,
                    http::request_parser<http::string_body> *parser);
   void RefuseUnreadable(Connection *connection, const beast::error_code &error);
@@ -461,6 +462,21 @@
   thread->m_acceptor->close(error);
 }
 
+/** Receives the first bytes of a request. A longer idle timeout that is set
+ * meanwhile holds at once. */
+beast::error_code HttpServer::Impl::AwaitRequest(Connection *connection,
+                                                 RequestParser *parser) {
+  base::TimePoint start = base::Clock::now();
+  while (true) {
+    base::milliseconds timeout =
+        m_stopped ? kFirstRequestGrace : m_idle_timeout.load();
+    beast::error_code error = ReceiveMore(connection, parser, start + timeout);
+    bool is_extended = error == beast::error::timeout && !m_stopped &&
+                       base::Clock::now() < start + m_idle_timeout.load();
+    if (!is_extended) return error;
+  }
+}
+
 /**
  * Reads one request.
  * @return false if the connection must close
@@ -473,10 +489,7 @@
   if (connection->m_buffer.size() == 0) {
     connection->m_idle = true;
     if (m_stopped && !connection->m_is_new) return false;
-    base::milliseconds timeout =
-        m_stopped ? kFirstRequestGrace : m_idle_timeout.load();
-    beast::error_code error =
-        ReceiveMore(connection, parser, base::Clock::now() + timeout);
+    beast::error_code error = AwaitRequest(connection, parser);
     connection->m_idle = false;
     connection->m_is_new = false;
     if (error) return false;
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -307,6 +307,40 @@
   });
 }
 
+// A connection that was waiting kept the shorter timeout from before a change:
+// callers that followed the new one lost the request that crossed its close.
+TEST(HttpTest, LongerIdleTimeoutHoldsForConnectionsThatWait) {
+  HttpServerOptions options;
+  options.m_listen = Endpoint{"127.0.0.1", 0};
+  options.m_idle_timeout = milliseconds(200);
+  HttpServer server(options, Echo);
+  ASSERT_TRUE(server.Listen());
+  RunFiberThread([&server] {
+    boost::fibers::fiber serving([&server] { server.Serve(); });
+    boost::fibers::fiber change([&server] {
+      SleepFor(milliseconds(100));
+      server.SetIdleTimeout(seconds(5));
+    });
+    HttpClientPool pool;
+    Endpoint endpoint{"127.0.0.1", server.Port()};
+    for (bool is_first : {true, false}) {
+      auto start =
+          pool.Start(endpoint, HttpRequest{"GET", "/", {}, ""}, In(seconds(5)));
+      ASSERT_NE(start.m_call, nullptr);
+      EXPECT_EQ(start.m_is_reused, !is_first);
+      ASSERT_TRUE(start.m_call->ReadHead(In(seconds(5))));
+      std::string body;
+      while (*start.m_call->ReadSome(&body, In(seconds(5)))) {
+      }
+      start.m_call.reset();
+      SleepFor(milliseconds(400));
+    }
+    change.join();
+    server.Stop();
+    serving.join();
+  });
+}
+
 /** Guards against a stop that resets a connection whose request has been sent
  * or is about to be. */
 TEST(HttpTest, StopAnswersNewConnections) {
