Count the memory that held answers take, not their size

A run of all tests on, beside another one, failed GatewayFaultyRunnerTest.ManyBodiesWithoutEndHaveOneBound once: 135.3 MB more where 134.2 are allowed.

Cause: the bound for all answers counted the size of their strings, which reserve up to twice that while they grow. Since the largest answer ends beyond the bound, the others grow on to sizes at which twice as much is reserved.

Change: the memory that the strings reserve counts. The bound stays at 48 MiB, and the test's as it is.

--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -15,15 +15,16 @@
 constexpr int kStallFactor = 3;
 constexpr base::milliseconds kMinStallTime{1'200};
 
-/** @return bytes of a request's answers that the caller hasn't got. Those of an
- * attempt that was cancelled are about to be freed. */
+/** @return memory that holds the part of a request's answers that the caller
+ * hasn't got; strings that grow reserve up to twice their size. That of an
+ * attempt that was cancelled is about to be freed. */
 std::size_t CountBufferedBytes(const RequestScope &scope) {
   if (scope.m_cancel_reason != nullptr) return 0;
   const Attempt &attempt = scope.m_attempt;
-  std::size_t size = attempt.m_splitter.m_partial_event.size();
-  if (attempt.m_head) size += attempt.m_head->m_body.size();
+  std::size_t size = attempt.m_splitter.m_partial_event.capacity();
+  if (attempt.m_head) size += attempt.m_head->m_body.capacity();
   if (scope.m_silent_attempt) {
-    size += scope.m_silent_attempt->m_splitter.m_partial_event.size();
+    size += scope.m_silent_attempt->m_splitter.m_partial_event.capacity();
   }
   return size;
 }
