--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -347,7 +347,14 @@
     case gen::FleetMessage::kLoadQuery:
     case gen::FleetMessage::kLoadAnswer:
     case gen::FleetMessage::kLoadUpdate:
-      // Sent between entry hosts only.
+    // Sent between entry hosts only.
+    case gen::FleetMessage::kFreshnessQuery:
+    case gen::FleetMessage::kFreshnessAnswer:
+    case gen::FleetMessage::kQuotaQuery:
+    case gen::FleetMessage::kQuotaAnswer:
+    case gen::FleetMessage::kQuotaRefund:
+    case gen::FleetMessage::kCreditRequest:
+    case gen::FleetMessage::kCreditGrant:
     case gen::FleetMessage::BODY_NOT_SET:
       return;
   }
