Identify callers by keys of teams and bound the age of the table

Tables now declare teams and public routes; entry hosts accept keys only while their table was the newest recently enough, which control hosts learn from the leader's quorum.

--- a/src/fleet_control/replication_group.cpp
+++ b/src/fleet_control/replication_group.cpp
@@ -171,6 +171,9 @@
       if (ConfirmRead(start + lease) && GetTerm() == term) {
         m_lease_term = term;
         m_lease_until = start + lease;
+        if (m_hooks.m_on_leadership_confirmed) {
+          m_hooks.m_on_leadership_confirmed(start);
+        }
       }
     }
     net::SleepFor(kLeasePeriod);
--- a/src/fleet_control/replication_group.h
+++ b/src/fleet_control/replication_group.h
@@ -34,6 +34,9 @@
     /** @return message endpoints of control hosts that may lead. */
     std::function<std::set<std::string>()> m_list_peers;
     std::function<void()> m_on_leader_change;
+    /** Called when a quorum has confirmed that this host led at a time and the
+     * state machine reflects all that was committed before. May be empty. */
+    std::function<void(base::TimePoint)> m_on_leadership_confirmed;
   };
 
   /** @param machine outlives this object */
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -19,6 +19,7 @@
 #include "fleet/message_endpoint_func.h"
 #include "fleet/use_sum_func.h"
 #include "fleet_control/fact_exchange.h"
+#include "fleet_control/freshness_service.h"
 #include "fleet_control/quarantine_controller.h"
 #include "fleet_control/replication_group.h"
 #include "fleet_control/residency_controller.h"
@@ -86,6 +87,8 @@
   ReplicationGroup::Hooks MakeReplicationHooks();
   ResidencyController::Hooks MakeResidencyHooks();
   QuarantineController::Hooks MakeQuarantineHooks();
+  FreshnessService::Hooks MakeFreshnessHooks();
+  std::string GetOtherLeader() const;
   void HandleCall(const net::HttpRequest &request, net::HttpExchange &exchange);
   net::HttpResponse HandleReport(const gen::UpstreamReport &report);
   net::HttpResponse HandlePut(const net::HttpRequest &request,
@@ -121,6 +124,7 @@
   std::unique_ptr<FactExchange> m_exchange;
   fleet::UseSum m_use_sum;
   base::TimePoint m_use_sum_sent_at;
+  std::unique_ptr<FreshnessService> m_freshness;
   std::unique_ptr<ReplicationGroup> m_group;
   std::unique_ptr<ResidencyController> m_residency;
   std::unique_ptr<QuarantineController> m_quarantine;
@@ -140,6 +144,7 @@
   m_self.set_endpoint(m_settings.network().message_address());
   m_self.set_operators_address(m_settings.group().listen());
   m_self.set_domain(m_settings.node().domain());
+  m_freshness = std::make_unique<FreshnessService>(MakeFreshnessHooks());
   m_exchange = std::make_unique<FactExchange>(
       m_self, base::milliseconds(m_settings.bounds().heartbeat_ms()),
       MakeExchangeHooks());
@@ -170,6 +175,9 @@
   };
   hooks.m_list_peers = [this] { return m_exchange->ListPeers(); };
   hooks.m_on_leader_change = [this] { m_exchange->AnnounceHeader(); };
+  hooks.m_on_leadership_confirmed = [this](base::TimePoint at) {
+    m_freshness->RecordLeadership(at);
+  };
   return hooks;
 }
 
@@ -208,6 +216,25 @@
   return hooks;
 }
 
+FreshnessService::Hooks FleetControl::MakeFreshnessHooks() {
+  FreshnessService::Hooks hooks;
+  hooks.m_send = [this](const std::string &to,
+                        const gen::FleetMessage &message) {
+    SendFleetMessage(to, message);
+  };
+  hooks.m_get_other_leader = [this] { return GetOtherLeader(); };
+  hooks.m_get_version = [this] { return m_route_state.GetVersion(); };
+  return hooks;
+}
+
+/** @return message endpoint of the leader, or "" if it is unknown or this host.
+ */
+std::string FleetControl::GetOtherLeader() const {
+  std::string leader = m_group->GetLeader();
+  bool is_other = !leader.empty() && leader != m_self.operators_address();
+  return is_other ? m_group->GetEndpoint(leader) : "";
+}
+
 base::Result<void> FleetControl::Start() {
   const gen::FleetNetworkSettings &network = m_settings.network();
   base::Result<net::Endpoint> messages = net::ParseEndpoint(
@@ -344,12 +371,16 @@
     case gen::FleetMessage::kJoin:
       m_group->HandleJoin(message.join(), now);
       return;
+    case gen::FleetMessage::kFreshnessQuery:
+      m_freshness->HandleQuery(from, message.freshness_query(), now);
+      return;
+    case gen::FleetMessage::kFreshnessAnswer:
+      m_freshness->HandleAnswer(message.freshness_answer(), now);
+      return;
     case gen::FleetMessage::kLoadQuery:
     case gen::FleetMessage::kLoadAnswer:
     case gen::FleetMessage::kLoadUpdate:
     // Sent between entry hosts only.
-    case gen::FleetMessage::kFreshnessQuery:
-    case gen::FleetMessage::kFreshnessAnswer:
     case gen::FleetMessage::kQuotaQuery:
     case gen::FleetMessage::kQuotaAnswer:
     case gen::FleetMessage::kQuotaRefund:
@@ -536,6 +567,7 @@
     base::TimePoint now = base::Clock::now();
     m_exchange->Tick(now);
     if (now >= m_use_sum_sent_at + kUseSumPeriod) SendUseSum(now);
+    m_freshness->Tick(now);
     net::SleepFor(Registry::kTickPeriod);
   }
 }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "access/identify_func.h"
 #include "base/log_func.h"
 #include "gateway/attempt_internal.h"
 
@@ -178,8 +179,10 @@
       std::chrono::duration_cast<base::milliseconds>(GetRemaining(*scope, now));
   metadata.m_upstream = choice.m_upstream;
   if (scope->m_service->has_engine()) {
-    metadata.m_urgency = routes::GetUrgency(*scope->m_route);
+    metadata.m_urgency = routes::GetUrgency(*scope->m_route, scope->m_team);
   }
+  metadata.m_drops_credential = access::HasTeams(*scope->m_routes);
+  if (scope->m_team != nullptr) metadata.m_team = scope->m_team->name();
   metadata.m_last_event_id = scope->m_last_event_id
                                  ? std::to_string(*scope->m_last_event_id)
                                  : scope->m_metadata.m_last_event_id;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include "base/log_func.h"
 #include "base/metrics_func.h"
+#include "base/random_func.h"
 #include "base/text_func.h"
 #include "fleet/message_endpoint_func.h"
 #include "fleet/region_digest_func.h"
@@ -57,6 +58,7 @@
     : m_settings(std::move(settings)),
       m_protocol(protocol),
       m_sender(std::move(sender)) {
+  m_freshness.m_last_number = base::MakeSeed();
   m_self.set_name(m_settings.node().name());
   m_self.set_born_ms(GetUnixTimeMs());
   m_self.set_endpoint(m_settings.network().message_address());
@@ -132,6 +134,7 @@
   m_routes = routes::MakeRouteIndex(std::move(*result->m_routes));
   outdated_times.Observe(
       std::chrono::duration<double>(result->m_outdated_time).count());
+  fleet::HandleAdoptedTable(&m_freshness, m_routes->m_table.version());
   LogEvent(LogLevel::kInfo, "routes_in_force",
            {{"version", m_routes->m_table.version()},
             {"routes", m_routes->m_table.routes_size()},
@@ -191,6 +194,13 @@
 
 void Gateway::HandleMessage(const std::string &from,
                             const gen::FleetMessage &message) {
+  if (message.has_freshness_answer()) {
+    std::uint64_t version = m_routes ? m_routes->m_table.version() : 0;
+    (void)fleet::HandleFreshnessAnswer(&m_freshness, message.freshness_answer(),
+                                       version, base::Clock::now());
+    m_view_changed.notify_all();
+    return;
+  }
   if (!message.has_news()) return;
   UpdateOwnReport();
   fleet::FactUpdateResult result = fleet::HandleFactUpdate(
@@ -359,6 +369,7 @@
     UpdateOwnReport();
     SendAll(fleet::TickFollower(&m_follower, now));
     LogPublisherChange();
+    QueryFreshness(now);
     RefillRetryBudgets(now);
     ForgetStats();
     ForgetRunnerLoads(&m_runner_loads, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "fleet/follower_func.h"
+#include "fleet/freshness_func.h"
 #include "gateway/choose_func.h"
 #include "gateway/crash_evidence_func.h"
 #include "gateway/directory_func.h"
@@ -111,6 +112,13 @@
   void LogRequest(const RequestScope &scope) const;
   ChoiceRequest MakeChoiceRequest(const RequestScope &scope) const;
 
+  // caller_access.cpp
+  bool IsTableConfirmed(base::TimePoint now) const;
+  void WaitForConfirmation(RequestScope *scope);
+  bool AdmitCaller(RequestScope *scope);
+  bool IsKeyRevoked(const RequestScope &scope) const;
+  void QueryFreshness(base::TimePoint now);
+
   // attempt.cpp
   void RunAttempt(RequestScope *scope, const Choice &choice);
   void ResumeSilentAttempt(RequestScope *scope);
@@ -173,6 +181,7 @@
   gen::EntryHost m_self;
   Location m_location;
   fleet::Follower m_follower;
+  fleet::FreshnessState m_freshness;
   std::string m_logged_publisher;  ///< last one followed, for the log
   routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
   StatsById m_stats;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -16,6 +16,7 @@
 
 /** Reason of answers to requests that a stop of this host cuts short. */
 inline constexpr const char *kStoppingReason = "stopping";
+inline constexpr const char *kKeyRevokedReason = "key_revoked";
 
 /** Reason of the end of an attempt because the silent upstream, instead of
  * which it was made, answers again. */
@@ -60,6 +61,7 @@
   routes::RouteIndexPtr m_routes;
   const gen::Route *m_route = nullptr;
   const gen::RoutedService *m_service = nullptr;
+  const gen::Team *m_team = nullptr;  ///< of the caller's key, or nullptr
   /** The service's engine declares the model. Demand for others is neither
    * counted nor waited for, since nothing will load them. */
   bool m_is_model_declared = false;
--- a/src/gateway/protocol_type.h
+++ b/src/gateway/protocol_type.h
@@ -24,10 +24,13 @@
 struct RequestMetadata {
   std::string m_id;
   std::string m_host;
-  std::string m_caller;   ///< its credential, "" if it sent none
+  std::string m_caller;   ///< its credential, or its team once that is known
+  std::string m_key;      ///< of its team, from the credential; never logged
   std::string m_model;    ///< "" if it needs none
   std::string m_adapter;  ///< "" if it needs none
   std::uint32_t m_prompt_tokens = 0;
+  /** Maximum number of tokens in the answer; nullopt if it doesn't say. */
+  std::optional<std::uint32_t> m_output_tokens;
 
   std::vector<PromptPart> m_parts;  ///< of the prompt, in order
   /** How long the caller waits; nullopt if it doesn't say. */
@@ -40,7 +43,9 @@
   base::milliseconds m_remaining{0};       ///< until the deadline
   std::string m_upstream;                  ///< no other one may run it
   std::optional<std::uint32_t> m_urgency;  ///< runners serve 0 first
-  std::string m_last_event_id;  ///< resume a stream after this event, or ""
+  std::string m_last_event_id;      ///< resume a stream after this event, or ""
+  bool m_drops_credential = false;  ///< teams are declared: keys stay here
+  std::string m_team;               ///< of the caller, or ""
 };
 
 /** Whether a response names the request that it answers. */
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -175,6 +175,7 @@
     Refuse(scope, 503, kStoppingReason, "this host stops; use another one");
     return false;
   }
+  if (!AdmitCaller(scope)) return false;
   scope->m_service = routes::FindService(
       *m_routes, routes::ChooseService(*scope->m_route, scope->m_request_hash));
   scope->m_prefix_keys = MakePrefixKeys(scope->m_metadata);
@@ -287,6 +288,7 @@
   } else {
     reason = FindQuarantine(*scope);
   }
+  if (reason == nullptr && IsKeyRevoked(*scope)) reason = kKeyRevokedReason;
   if (reason == nullptr) return false;
   scope->m_reason = reason;
   FinishUnanswered(scope);
@@ -391,7 +393,7 @@
   if (is_target_missing) {
     TargetCounts &counts = GetTargetCounts(*scope, wants_adapter);
     if (counts.m_waiting++ == 0) m_is_use_report_urgent = true;
-    counts.m_rank = scope->m_route->rank();
+    counts.m_rank = routes::GetRank(*scope->m_route, scope->m_team);
     if (m_is_use_report_urgent) SendUseReport(start);
   }
   {
@@ -455,6 +457,7 @@
   LogEvent(is_good ? LogLevel::kInfo : LogLevel::kWarn, "request",
            {{"request", scope.m_metadata.m_id},
             {"route", scope.m_route == nullptr ? "" : scope.m_route->name()},
+            {"team", scope.m_team == nullptr ? "" : scope.m_team->name()},
             {"routes_version",
              scope.m_routes == nullptr ? 0 : scope.m_routes->m_table.version()},
             {"target", fleet::MakeTarget(scope.m_metadata.m_model,
--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -61,6 +62,38 @@
   return {};
 }
 
+tl::unexpected<base::Error> MakeTeamError(const gen::Team &team,
+                                          const std::string &problem,
+                                          const std::string &remedy) {
+  return base::MakeError(base::ErrorKind::kInvalidArgument,
+                         fmt::format("team \"{}\": {}", team.name(), problem),
+                         remedy);
+}
+
+bool IsAmount(double number) { return std::isfinite(number) && number >= 0; }
+
+/** Validates the teams. The errors don't contain keys. */
+base::Result<void> CheckTeams(const gen::RouteTable &table) {
+  std::set<std::string> names;
+  std::set<std::string> keys;
+  for (const gen::Team &team : table.teams()) {
+    if (team.name().empty() || !names.insert(team.name()).second) {
+      return MakeTeamError(team, "its name is empty or used twice",
+                           "give each team a name of its own");
+    }
+    for (const std::string &key : team.keys()) {
+      if (!key.empty() && keys.insert(key).second) continue;
+      return MakeTeamError(team, "one of its keys is empty or used twice",
+                           "give each key to one team only");
+    }
+    if (!IsAmount(team.rate_per_second()) || !IsAmount(team.burst())) {
+      return MakeTeamError(team, "its rate or burst is negative or no number",
+                           "give numbers from 0 on, or none for no limit");
+    }
+  }
+  return {};
+}
+
 }  // namespace
 
 base::Result<void> CheckRouteTable(const gen::RouteTable &table) {
@@ -85,7 +118,7 @@
           "remove one of the two routes");
     }
   }
-  return {};
+  return CheckTeams(table);
 }
 
 RouteIndexPtr MakeRouteIndex(gen::RouteTable table) {
@@ -106,6 +139,11 @@
       index->m_models[MakeModelKey(service.name(), model.name())] = &model;
     }
   }
+  for (const gen::Team &team : index->m_table.teams()) {
+    for (const std::string &key : team.keys()) {
+      index->m_teams_by_key[key] = &team;
+    }
+  }
   return index;
 }
 
@@ -134,6 +172,11 @@
   return found == index.m_models.end() ? nullptr : found->second;
 }
 
+const gen::Team *FindTeam(const RouteIndex &index, const std::string &key) {
+  auto found = index.m_teams_by_key.find(key);
+  return found == index.m_teams_by_key.end() ? nullptr : found->second;
+}
+
 const std::string &ChooseService(const gen::Route &route, std::uint64_t draw) {
   std::uint64_t total = 0;
   for (const gen::RouteTarget &target : route.targets()) {
@@ -155,12 +198,16 @@
        std::chrono::milliseconds(route.max_gap_ms()) * kPauseTimeoutGaps});
 }
 
-std::uint32_t GetUrgency(const gen::Route &route) {
+std::uint32_t GetRank(const gen::Route &route, const gen::Team *team) {
+  return team != nullptr && team->has_rank() ? team->rank() : route.rank();
+}
+
+std::uint32_t GetUrgency(const gen::Route &route, const gen::Team *team) {
   std::chrono::milliseconds objective(route.objective_ms());
   std::uint32_t step = 0;
   if (objective >= kMiddleObjective) step = 1;
   if (objective >= kLongObjective) step = 2;
-  return route.rank() * kUrgencySteps + step;
+  return GetRank(route, team) * kUrgencySteps + step;
 }
 
 bool IsRepeatable(const gen::Route &route) {
--- a/src/routes/table_func.h
+++ b/src/routes/table_func.h
@@ -20,7 +20,8 @@
  * Validates a table. Thread-safe.
  * @return kInvalidArgument, naming the route, for an unknown service, two
  *         routes with the same host and prefix, a total weight of 0, or a
- *         timeout of 0
+ *         timeout of 0; naming the team, for a key or name that another team
+ *         has, an empty key or name, or an impossible quota
  */
 base::Result<void> CheckRouteTable(const gen::RouteTable &table);
 
@@ -35,6 +36,7 @@
   absl::flat_hash_map<std::string, const gen::RoutedService *> m_services;
   /** Models by "service/model". */
   absl::flat_hash_map<std::string, const gen::HostedModel *> m_models;
+  absl::flat_hash_map<std::string, const gen::Team *> m_teams_by_key;
 };
 
 using RouteIndexPtr = std::shared_ptr<const RouteIndex>;
@@ -57,6 +59,9 @@
                                   const std::string &service,
                                   const std::string &model);
 
+/** @return the team that holds a key, or nullptr. Thread-safe. */
+const gen::Team *FindTeam(const RouteIndex &index, const std::string &key);
+
 /**
  * Chooses the service of a request by the weights of its route.
  * @param draw a random number
@@ -71,10 +76,19 @@
 std::chrono::milliseconds GetStreamPauseTimeout(const gen::Route &route);
 
 /**
- * @return the urgency of the route's requests in the queue of a runner; 0 is
- *         served first. Ordered by rank, and within a rank by objective
+ * @param team of the caller, or nullptr
+ * @return the rank of a request: that of its team, if it has one, or that of
+ *         its route. Thread-safe.
+ */
+std::uint32_t GetRank(const gen::Route &route, const gen::Team *team);
+
+/**
+ * @param team of the caller, or nullptr
+ * @return the urgency of a request in the queue of a runner; 0 is served first.
+ *         Ordered by rank, and within a rank by the route's objective.
+ *         Thread-safe.
  */
-std::uint32_t GetUrgency(const gen::Route &route);
+std::uint32_t GetUrgency(const gen::Route &route, const gen::Team *team);
 
 /** @return whether a request of the route may run more than once. */
 bool IsRepeatable(const gen::Route &route);
--- a/tests/routes_table_test.cpp
+++ b/tests/routes_table_test.cpp
@@ -103,9 +103,9 @@
   gen::Route plan;
   plan.set_rank(1);
   plan.set_objective_ms(2'500);
-  EXPECT_EQ(GetUrgency(chat), 0u);
-  EXPECT_LT(GetUrgency(chat), GetUrgency(digest));
-  EXPECT_LT(GetUrgency(digest), GetUrgency(plan));
+  EXPECT_EQ(GetUrgency(chat, nullptr), 0u);
+  EXPECT_LT(GetUrgency(chat, nullptr), GetUrgency(digest, nullptr));
+  EXPECT_LT(GetUrgency(digest, nullptr), GetUrgency(plan, nullptr));
 }
 
 TEST(RouteTableTest, StreamPauseTimeoutIsTheLongestOfThree) {
