Charge requests to quotas of teams over all hosts

The leader of the control hosts grants credit from one bucket a team, control hosts hold it in lots that expire, entry hosts ask one query a request.

--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -21,6 +21,7 @@
 #include "fleet_control/fact_exchange.h"
 #include "fleet_control/freshness_service.h"
 #include "fleet_control/quarantine_controller.h"
+#include "fleet_control/quota_service.h"
 #include "fleet_control/replication_group.h"
 #include "fleet_control/residency_controller.h"
 #include "fleet_control/route_state_machine.h"
@@ -88,6 +89,7 @@
   ResidencyController::Hooks MakeResidencyHooks();
   QuarantineController::Hooks MakeQuarantineHooks();
   FreshnessService::Hooks MakeFreshnessHooks();
+  QuotaService::Hooks MakeQuotaHooks();
   std::string GetOtherLeader() const;
   void HandleCall(const net::HttpRequest &request, net::HttpExchange &exchange);
   net::HttpResponse HandleReport(const gen::UpstreamReport &report);
@@ -125,6 +127,7 @@
   fleet::UseSum m_use_sum;
   base::TimePoint m_use_sum_sent_at;
   std::unique_ptr<FreshnessService> m_freshness;
+  std::unique_ptr<QuotaService> m_quotas;
   std::unique_ptr<ReplicationGroup> m_group;
   std::unique_ptr<ResidencyController> m_residency;
   std::unique_ptr<QuarantineController> m_quarantine;
@@ -145,6 +148,8 @@
   m_self.set_operators_address(m_settings.group().listen());
   m_self.set_domain(m_settings.node().domain());
   m_freshness = std::make_unique<FreshnessService>(MakeFreshnessHooks());
+  m_quotas = std::make_unique<QuotaService>(
+      quota::MakeQuotaSettings(m_settings.bounds()), MakeQuotaHooks());
   m_exchange = std::make_unique<FactExchange>(
       m_self, base::milliseconds(m_settings.bounds().heartbeat_ms()),
       MakeExchangeHooks());
@@ -227,6 +232,21 @@
   return hooks;
 }
 
+QuotaService::Hooks FleetControl::MakeQuotaHooks() {
+  QuotaService::Hooks hooks;
+  hooks.m_send = [this](const std::string &to,
+                        const gen::FleetMessage &message) {
+    SendFleetMessage(to, message);
+  };
+  hooks.m_get_other_leader = [this] { return GetOtherLeader(); };
+  hooks.m_holds_lease = [this](base::TimePoint now) {
+    return m_group->HoldsLease(now);
+  };
+  hooks.m_get_term = [this] { return m_group->GetTerm(); };
+  hooks.m_get_routes = [this] { return m_routes; };
+  return hooks;
+}
+
 /** @return message endpoint of the leader, or "" if it is unknown or this host.
  */
 std::string FleetControl::GetOtherLeader() const {
@@ -313,6 +333,7 @@
            {{"version", m_route_state.GetVersion()},
             {"routes", m_routes->m_table.routes_size()}});
   m_exchange->AnnounceHeader();
+  m_quotas->HandleNewTable(base::Clock::now());
 }
 
 void FleetControl::OnQuarantineChanged() { m_exchange->AnnounceHeader(); }
@@ -377,15 +398,23 @@
     case gen::FleetMessage::kFreshnessAnswer:
       m_freshness->HandleAnswer(message.freshness_answer(), now);
       return;
-    case gen::FleetMessage::kLoadQuery:
-    case gen::FleetMessage::kLoadAnswer:
-    case gen::FleetMessage::kLoadUpdate:
-    // Sent between entry hosts only.
     case gen::FleetMessage::kQuotaQuery:
-    case gen::FleetMessage::kQuotaAnswer:
+      m_quotas->HandleQuery(from, message.quota_query(), now);
+      return;
     case gen::FleetMessage::kQuotaRefund:
+      m_quotas->HandleRefund(message.quota_refund());
+      return;
     case gen::FleetMessage::kCreditRequest:
+      m_quotas->HandleCreditRequest(from, message.credit_request(), now);
+      return;
     case gen::FleetMessage::kCreditGrant:
+      m_quotas->HandleGrant(message.credit_grant(), now);
+      return;
+    case gen::FleetMessage::kLoadQuery:
+    case gen::FleetMessage::kLoadAnswer:
+    case gen::FleetMessage::kLoadUpdate:
+    case gen::FleetMessage::kQuotaAnswer:
+      // Sent to entry hosts only.
     case gen::FleetMessage::BODY_NOT_SET:
       return;
   }
@@ -568,6 +597,7 @@
     m_exchange->Tick(now);
     if (now >= m_use_sum_sent_at + kUseSumPeriod) SendUseSum(now);
     m_freshness->Tick(now);
+    m_quotas->Tick(now);
     net::SleepFor(Registry::kTickPeriod);
   }
 }
--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -212,7 +212,7 @@
                is_not_run ? "no_connection" : "send_failed");
     return false;
   }
-  ++scope->m_send_count;
+  if (++scope->m_send_count > 1) ChargeRepeat(*scope);
   if (scope->m_is_model_declared) {
     bool has_adapter = !scope->m_metadata.m_adapter.empty();
     GetTargetCounts(*scope, has_adapter).m_upstreams.insert(choice.m_upstream);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -59,6 +59,7 @@
       m_protocol(protocol),
       m_sender(std::move(sender)) {
   m_freshness.m_last_number = base::MakeSeed();
+  m_last_charge = base::MakeSeed();
   m_self.set_name(m_settings.node().name());
   m_self.set_born_ms(GetUnixTimeMs());
   m_self.set_endpoint(m_settings.network().message_address());
@@ -201,6 +202,10 @@
     m_view_changed.notify_all();
     return;
   }
+  if (message.has_quota_answer()) {
+    HandleQuotaAnswer(from, message.quota_answer());
+    return;
+  }
   if (!message.has_news()) return;
   UpdateOwnReport();
   fleet::FactUpdateResult result = fleet::HandleFactUpdate(
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,11 +23,13 @@
 #include "gateway/use_func.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "quota/charge_func.h"
 #include "route/budget_func.h"
 #include "routes/table_func.h"
 
 namespace wasabiwind::gateway {
 
+struct PendingCharge;
 struct PendingLoadQuery;
 struct RequestScope;
 
@@ -119,6 +121,14 @@
   bool IsKeyRevoked(const RequestScope &scope) const;
   void QueryFreshness(base::TimePoint now);
 
+  // team_charge.cpp
+  bool ChargeTeam(RequestScope *scope);
+  void AwaitCharge(RequestScope *scope, PendingCharge *charge);
+  void HandleQuotaAnswer(const std::string &from,
+                         const gen::QuotaAnswer &answer);
+  void ChargeRepeat(const RequestScope &scope);
+  void RefundTeam(const RequestScope &scope);
+
   // attempt.cpp
   void RunAttempt(RequestScope *scope, const Choice &choice);
   void ResumeSilentAttempt(RequestScope *scope);
@@ -194,6 +204,12 @@
   std::map<std::uint64_t, PendingLoadQuery *> m_load_queries;  ///< by number
   std::uint64_t m_last_load_query = 0;
   boost::fibers::condition_variable m_load_answered;
+  quota::ChargeHosts m_charge_hosts;
+  std::map<std::uint64_t, PendingCharge *> m_charges;  ///< by number
+  /** Begins at a random number, so that no answer to a former process of this
+   * host matches. */
+  std::uint64_t m_last_charge = 0;
+  boost::fibers::condition_variable m_charge_answered;
   std::map<std::string, route::Budget> m_retry_budgets;  ///< by service
   base::TimePoint m_retry_budgets_refilled_at;
   std::size_t m_most_entry_hosts = 0;  ///< most that were known at once
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -17,6 +17,7 @@
 /** Reason of answers to requests that a stop of this host cuts short. */
 inline constexpr const char *kStoppingReason = "stopping";
 inline constexpr const char *kKeyRevokedReason = "key_revoked";
+inline constexpr const char *kQuotaExhaustedReason = "quota_exhausted";
 
 /** Reason of the end of an attempt because the silent upstream, instead of
  * which it was made, answers again. */
@@ -89,9 +90,13 @@
   std::optional<Attempt> m_silent_attempt;
   /** Of answers, and parts of events, that the caller hasn't got. */
   std::size_t m_buffered_bytes = 0;
-  /** Set if all suitable upstreams pause for longer than the caller waits. */
+  /** Set if all suitable upstreams pause for longer than the caller waits, or
+   * its team has no credit. */
   base::TimePoint m_pause_ends_at;
 
+  std::string m_charged_by;  ///< control host that charged the team, or ""
+  base::TimePoint m_charged_at;
+
   /** Why this host cancelled the attempt, or nullptr. */
   const char *m_cancel_reason = nullptr;
 
@@ -118,6 +123,15 @@
   int m_missing_answers = 0;
 };
 
+/** Queries to control hosts that shall charge one request. */
+struct PendingCharge {
+  std::uint64_t m_number = 0;
+  std::set<std::string> m_asked;  ///< message endpoints
+  gen::QuotaOutcome m_outcome = gen::QUOTA_UNKNOWN;
+  std::string m_answered_by;
+  base::milliseconds m_retry_after{0};  ///< with QUOTA_EXHAUSTED
+};
+
 /** Registers a request as active while it is in scope. */
 struct ActiveRequestGuard {
   ActiveRequestGuard(Gateway *gateway, RequestScope *scope);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -99,7 +99,9 @@
                                  const std::string &reason) {
   if (reason == kPromptQuarantineReason) return kPromptQuarantineRetryAfter;
   if (reason == kRequestQuarantineReason) return kRequestQuarantineRetryAfter;
-  if (reason == GetProblemName(ChoiceProblem::kPaused)) {
+  bool has_pause = reason == GetProblemName(ChoiceProblem::kPaused) ||
+                   reason == kQuotaExhaustedReason;
+  if (has_pause) {
     return GetPauseRetryAfter(scope);
   }
   bool is_model_missing = reason == GetProblemName(ChoiceProblem::kNoModel);
@@ -207,7 +209,10 @@
   scope.m_started_at = base::Clock::now();
   if (Admit(&scope)) {
     ActiveRequestGuard guard(this, &scope);
-    Serve(&scope);
+    if (ChargeTeam(&scope)) {
+      Serve(&scope);
+      RefundTeam(scope);
+    }
   }
   ObserveLatency(scope);
   LogRequest(scope);
@@ -433,7 +438,8 @@
   details.m_request_id = scope->m_metadata.m_id;
   details.m_reason = reason;
   details.m_message = message;
-  if (status == 503) details.m_retry_after = GetRetryAfter(*scope, reason);
+  if (status == 503 || status == 429)
+    details.m_retry_after = GetRetryAfter(*scope, reason);
   scope->m_status = status;
   scope->m_outcome = "refused";
   scope->m_reason = reason;
--- /dev/null
+++ b/src/gateway/team_charge.cpp
@@ -0,0 +1,166 @@
+/** @file team_charge.cpp Charges requests to the quotas of their teams. */
+
+#include "base/metrics_func.h"
+#include "gateway/gateway_internal.h"
+#include "quota/quota_type.h"
+
+namespace wasabiwind::gateway {
+
+namespace {
+
+/** A control host that doesn't answer within this time may be lost, so another
+ * one is asked too. */
+constexpr base::milliseconds kAskNextAfter{150};
+/** Longest wait for an answer, also as share of the time that a caller waits.
+ * It covers the election of a leader. */
+constexpr base::milliseconds kMaxChargeWait{2'000};
+constexpr double kChargeWaitShare = 0.25;
+constexpr std::size_t kMaxAskedHosts = 3;
+
+void CountCharge(const char *outcome) {
+  base::GetCounter("ww_quota_charges_total",
+                   "Requests charged to the quota of a team, by outcome",
+                   {{"outcome", outcome}})
+      .Increment();
+}
+
+double GetRequestCost(const RequestScope &scope) {
+  std::optional<std::uint64_t> tokens;
+  if (scope.m_metadata.m_output_tokens) {
+    tokens = std::uint64_t{scope.m_metadata.m_prompt_tokens} +
+             *scope.m_metadata.m_output_tokens;
+  }
+  return quota::GetCost(*scope.m_team, tokens);
+}
+
+gen::FleetMessage MakeQuery(const RequestScope &scope, std::uint64_t number,
+                            base::Duration wait) {
+  gen::FleetMessage message;
+  gen::QuotaQuery *query = message.mutable_quota_query();
+  query->set_number(number);
+  query->set_team(scope.m_team->name());
+  query->set_cost(GetRequestCost(scope));
+  query->set_wait_ms(static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, base::ToMilliseconds(wait))));
+  return message;
+}
+
+bool IsLimited(const RequestScope &scope) {
+  return scope.m_team != nullptr && quota::HasQuota(*scope.m_team);
+}
+
+}  // namespace
+
+/**
+ * Charges a request to the quota of its team.
+ * @return false if the request was refused
+ * @pre AdmitCaller accepted the request
+ */
+bool Gateway::ChargeTeam(RequestScope *scope) {
+  if (!IsLimited(*scope)) return true;
+  PendingCharge charge;
+  AwaitCharge(scope, &charge);
+  if (scope->m_is_caller_gone) {
+    scope->m_outcome = "caller_gone";
+    return false;
+  }
+  switch (charge.m_outcome) {
+    case gen::QUOTA_CHARGED:
+      scope->m_charged_by = charge.m_answered_by;
+      scope->m_charged_at = base::Clock::now();
+      CountCharge("charged");
+      return true;
+    case gen::QUOTA_EXHAUSTED:
+      scope->m_pause_ends_at = base::Clock::now() + charge.m_retry_after;
+      CountCharge("exhausted");
+      Refuse(scope, 429, kQuotaExhaustedReason,
+             "the team's quota is used up; try again later");
+      return false;
+    default:
+      CountCharge("unavailable");
+      Refuse(scope, 503, "quota_unavailable",
+             "no control host could charge the team's quota; try again");
+      return false;
+  }
+}
+
+/** Asks control hosts, one after another, until one has charged or refused. */
+void Gateway::AwaitCharge(RequestScope *scope, PendingCharge *charge) {
+  base::TimePoint start = base::Clock::now();
+  base::TimePoint end =
+      start +
+      std::min<base::Duration>(
+          kMaxChargeWait, std::chrono::duration_cast<base::Duration>(
+                              GetRemaining(*scope, start) * kChargeWaitShare));
+  charge->m_number = ++m_last_charge;
+  m_charges[charge->m_number] = charge;
+  base::TimePoint now = start;
+  while (now < end && charge->m_outcome == gen::QUOTA_UNKNOWN &&
+         !scope->m_exchange->IsPeerGone()) {
+    base::TimePoint next = end;
+    bool may_ask = charge->m_asked.size() < kMaxAskedHosts;
+    std::string host = may_ask
+                           ? quota::ChooseChargeHost(
+                                 m_charge_hosts, m_follower.m_choice.m_current,
+                                 fleet::ListPublishers(m_follower),
+                                 charge->m_asked, scope->m_request_hash, now)
+                           : std::string();
+    if (!host.empty()) {
+      charge->m_asked.insert(host);
+      m_sender(host, MakeQuery(*scope, charge->m_number, end - now));
+      next = std::min(end, now + kAskNextAfter);
+    }
+    {
+      std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+      m_charge_answered.wait_until(lock, next, [charge] {
+        return charge->m_outcome != gen::QUOTA_UNKNOWN;
+      });
+    }
+    now = base::Clock::now();
+    bool is_silent = !host.empty() && charge->m_answered_by.empty();
+    if (is_silent) quota::RecordSilentHost(&m_charge_hosts, host, now);
+  }
+  m_charges.erase(charge->m_number);
+  if (scope->m_exchange->IsPeerGone()) scope->m_is_caller_gone = true;
+}
+
+void Gateway::HandleQuotaAnswer(const std::string &from,
+                                const gen::QuotaAnswer &answer) {
+  quota::RecordAnsweringHost(&m_charge_hosts, from);
+  auto found = m_charges.find(answer.number());
+  // Answers to a request that another control host has charged come late. Their
+  // credit is lost, which never lets a team exceed its quota.
+  if (found == m_charges.end()) return;
+  PendingCharge *charge = found->second;
+  if (charge->m_outcome != gen::QUOTA_UNKNOWN) return;
+  charge->m_outcome = answer.outcome();
+  charge->m_answered_by = from;
+  charge->m_retry_after = base::milliseconds(answer.retry_after_ms());
+  m_charge_answered.notify_all();
+}
+
+/** Charges a further attempt of a request, which also may run. */
+void Gateway::ChargeRepeat(const RequestScope &scope) {
+  bool is_charged = IsLimited(scope) && !scope.m_charged_by.empty();
+  if (!is_charged) return;
+  gen::FleetMessage message =
+      MakeQuery(scope, ++m_last_charge, base::Duration(0));
+  message.mutable_quota_query()->set_is_repeat(true);
+  m_sender(scope.m_charged_by, message);
+}
+
+/** Gives back the credit of a request that certainly didn't run. */
+void Gateway::RefundTeam(const RequestScope &scope) {
+  bool has_run = scope.m_possible_run_count != 0 || scope.m_is_head_sent ||
+                 scope.m_attempt_end == AttemptEnd::kTimedOut;
+  if (scope.m_charged_by.empty() || has_run) return;
+  gen::FleetMessage message;
+  gen::QuotaRefund *refund = message.mutable_quota_refund();
+  refund->set_team(scope.m_team->name());
+  refund->set_cost(GetRequestCost(scope));
+  refund->set_age_ms(static_cast<std::uint32_t>(
+      base::ToMilliseconds(base::Clock::now() - scope.m_charged_at)));
+  m_sender(scope.m_charged_by, message);
+}
+
+}  // namespace wasabiwind::gateway
