--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -128,6 +128,8 @@
                          const gen::QuotaAnswer &answer);
   void ChargeRepeat(const RequestScope &scope);
   void RefundTeam(const RequestScope &scope);
+  void SendRefund(const std::string &to, const std::string &team, double cost,
+                  base::Duration age);
 
   // attempt.cpp
   void RunAttempt(RequestScope *scope, const Choice &choice);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -129,6 +129,7 @@
   std::set<std::string> m_asked;  ///< message endpoints
   gen::QuotaOutcome m_outcome = gen::QUOTA_UNKNOWN;
   std::string m_answered_by;
+  bool m_is_pending = false;            ///< m_answered_by waits for credit
   base::milliseconds m_retry_after{0};  ///< with QUOTA_EXHAUSTED
 };
 
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -16,6 +16,8 @@
 constexpr base::milliseconds kMaxChargeWait{2'000};
 constexpr double kChargeWaitShare = 0.25;
 constexpr std::size_t kMaxAskedHosts = 3;
+/** A request waits for credit during this share of its objective. */
+constexpr double kCreditWaitShare = 0.25;
 
 void CountCharge(const char *outcome) {
   base::GetCounter("ww_quota_charges_total",
@@ -42,6 +44,8 @@
   query->set_cost(GetRequestCost(scope));
   query->set_wait_ms(static_cast<std::uint32_t>(
       std::max<std::int64_t>(0, base::ToMilliseconds(wait))));
+  query->set_exhausted_wait_ms(static_cast<std::uint32_t>(
+      scope.m_route->objective_ms() * kCreditWaitShare));
   return message;
 }
 
@@ -98,7 +102,8 @@
   while (now < end && charge->m_outcome == gen::QUOTA_UNKNOWN &&
          !scope->m_exchange->IsPeerGone()) {
     base::TimePoint next = end;
-    bool may_ask = charge->m_asked.size() < kMaxAskedHosts;
+    bool may_ask =
+        !charge->m_is_pending && charge->m_asked.size() < kMaxAskedHosts;
     std::string host = may_ask
                            ? quota::ChooseChargeHost(
                                  m_charge_hosts, m_follower.m_choice.m_current,
@@ -128,13 +133,22 @@
                                 const gen::QuotaAnswer &answer) {
   quota::RecordAnsweringHost(&m_charge_hosts, from);
   auto found = m_charges.find(answer.number());
-  // Answers to a request that another control host has charged come late. Their
-  // credit is lost, which never lets a team exceed its quota.
-  if (found == m_charges.end()) return;
+  bool is_needed = found != m_charges.end() &&
+                   found->second->m_outcome == gen::QUOTA_UNKNOWN;
+  if (!is_needed) {
+    // Another control host has charged the request, or it waits no longer.
+    if (answer.outcome() == gen::QUOTA_CHARGED) {
+      SendRefund(from, answer.team(), answer.cost(), base::Duration(0));
+    }
+    return;
+  }
   PendingCharge *charge = found->second;
-  if (charge->m_outcome != gen::QUOTA_UNKNOWN) return;
-  charge->m_outcome = answer.outcome();
   charge->m_answered_by = from;
+  if (answer.outcome() == gen::QUOTA_PENDING) {
+    charge->m_is_pending = true;
+    return;
+  }
+  charge->m_outcome = answer.outcome();
   charge->m_retry_after = base::milliseconds(answer.retry_after_ms());
   m_charge_answered.notify_all();
 }
@@ -154,13 +168,19 @@
   bool has_run = scope.m_possible_run_count != 0 || scope.m_is_head_sent ||
                  scope.m_attempt_end == AttemptEnd::kTimedOut;
   if (scope.m_charged_by.empty() || has_run) return;
+  SendRefund(scope.m_charged_by, scope.m_team->name(), GetRequestCost(scope),
+             base::Clock::now() - scope.m_charged_at);
+}
+
+/** @param age time since the credit was charged */
+void Gateway::SendRefund(const std::string &to, const std::string &team,
+                         double cost, base::Duration age) {
   gen::FleetMessage message;
   gen::QuotaRefund *refund = message.mutable_quota_refund();
-  refund->set_team(scope.m_team->name());
-  refund->set_cost(GetRequestCost(scope));
-  refund->set_age_ms(static_cast<std::uint32_t>(
-      base::ToMilliseconds(base::Clock::now() - scope.m_charged_at)));
-  m_sender(scope.m_charged_by, message);
+  refund->set_team(team);
+  refund->set_cost(cost);
+  refund->set_age_ms(static_cast<std::uint32_t>(base::ToMilliseconds(age)));
+  m_sender(to, message);
 }
 
 }  // namespace wasabiwind::gateway
--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -32,6 +32,15 @@
   return out;
 }
 
+fleet::OutMessage MakeChargedAnswer(const std::string &to, std::uint64_t number,
+                                    const std::string &team, double cost) {
+  fleet::OutMessage out = MakeAnswer(to, number, gen::QUOTA_CHARGED, {});
+  gen::QuotaAnswer *answer = out.m_message.mutable_quota_answer();
+  answer->set_team(team);
+  answer->set_cost(cost);
+  return out;
+}
+
 void RecordDemand(TeamCreditState *state, double cost, base::TimePoint now) {
   double passed_s =
       std::chrono::duration<double>(now - state->m_demand_at).count();
@@ -81,14 +90,15 @@
 
 /** Adds the amounts that the waiting queries of a team need. */
 void WantForWaiting(CreditHolder *holder, const std::string &name,
-                    TeamCreditState *state, SentCreditRequest *request) {
+                    TeamCreditState *state, SentCreditRequest *request,
+                    base::TimePoint now) {
   for (WaitingQuery &query : state->m_waiting) {
     bool is_asked =
         std::any_of(holder->m_sent.begin(), holder->m_sent.end(),
                     [&query](const SentCreditRequest &sent) {
                       return sent.m_number == query.m_credit_request;
                     });
-    if (is_asked) continue;
+    if (is_asked || now < query.m_ask_at) continue;
     query.m_credit_request = request->m_number;
     request->m_wanted.push_back(
         WantedCredit{name, query.m_cost, query.m_number, query.m_from});
@@ -133,9 +143,10 @@
   return credit;
 }
 
-/** Removes a waiting query. @return whether it still waited */
-bool TakeWaiting(CreditHolder *holder, const WantedCredit &wanted,
-                 std::uint64_t request) {
+/** @return the query that a credit request was for, or nullptr if it no longer
+ * waits */
+WaitingQuery *FindWaiting(CreditHolder *holder, const WantedCredit &wanted,
+                          std::uint64_t request) {
   std::deque<WaitingQuery> &waiting = holder->m_teams[wanted.m_team].m_waiting;
   auto found = std::find_if(waiting.begin(), waiting.end(),
                             [&wanted, request](const WaitingQuery &query) {
@@ -143,10 +154,39 @@
                                      query.m_number == wanted.m_query &&
                                      query.m_from == wanted.m_query_from;
                             });
-  if (found == waiting.end()) return false;
-  waiting.erase(found);
+  return found == waiting.end() ? nullptr : &*found;
+}
+
+void EraseWaiting(CreditHolder *holder, TeamCreditState *state,
+                  const WaitingQuery *query) {
+  auto found = std::find_if(
+      state->m_waiting.begin(), state->m_waiting.end(),
+      [query](const WaitingQuery &item) { return &item == query; });
+  state->m_waiting.erase(found);
   --holder->m_waiting_count;
-  return true;
+}
+
+/** Handles the leader's decision on a waiting query. @return its answer, unless
+ * the leader is asked again */
+std::optional<fleet::OutMessage> DecideWaiting(
+    CreditHolder *holder, const std::string &team, TeamCreditState *state,
+    WaitingQuery *query, bool is_granted, base::milliseconds retry_after,
+    base::TimePoint now) {
+  bool may_wait =
+      !is_granted &&
+      now + retry_after < std::min(query->m_refused_at, query->m_ends_at);
+  if (may_wait) {
+    query->m_credit_request = 0;
+    query->m_ask_at = now + retry_after;
+    return std::nullopt;
+  }
+  fleet::OutMessage answer =
+      is_granted ? MakeChargedAnswer(query->m_from, query->m_number, team,
+                                     query->m_cost)
+                 : MakeAnswer(query->m_from, query->m_number,
+                              gen::QUOTA_EXHAUSTED, retry_after);
+  EraseWaiting(holder, state, query);
+  return answer;
 }
 
 }  // namespace
@@ -169,9 +209,11 @@
     return {};
   }
   if (is_charged) {
-    return {MakeAnswer(from, query.number(), gen::QUOTA_CHARGED, {})};
+    return {MakeChargedAnswer(from, query.number(), query.team(), cost)};
   }
-  if (now < state.m_exhausted_until) {
+  base::TimePoint refused_at =
+      now + base::milliseconds(query.exhausted_wait_ms());
+  if (refused_at < state.m_exhausted_until) {
     return {MakeAnswer(
         from, query.number(), gen::QUOTA_EXHAUSTED,
         std::chrono::ceil<base::milliseconds>(state.m_exhausted_until - now))};
@@ -179,12 +221,12 @@
   if (holder->m_waiting_count >= kMaxWaitingQueries) {
     return {MakeAnswer(from, query.number(), gen::QUOTA_UNKNOWN, {})};
   }
-  state.m_waiting.push_back(
-      WaitingQuery{from, query.number(), cost,
-                   now + base::milliseconds(query.wait_ms()), 0});
+  state.m_waiting.push_back(WaitingQuery{
+      from, query.number(), cost, now + base::milliseconds(query.wait_ms()),
+      refused_at, std::max(now, state.m_exhausted_until), 0});
   ++holder->m_waiting_count;
-  holder->m_is_request_urgent = true;
-  return {};
+  if (now >= state.m_exhausted_until) holder->m_is_request_urgent = true;
+  return {MakeAnswer(from, query.number(), gen::QUOTA_PENDING, {})};
 }
 
 void HandleQuotaRefund(CreditHolder *holder, const gen::QuotaRefund &refund,
@@ -212,7 +254,7 @@
     base::milliseconds lifetime = GetCreditLifetime(*team->second, settings);
     DropExpiredLots(&state, now);
     TakeOldLots(&state, lifetime, now);
-    WantForWaiting(holder, name, &state, &sent);
+    WantForWaiting(holder, name, &state, &sent, now);
     WantAhead(*holder, name, state, lifetime, &sent, now);
     if (state.m_returned > 0) {
       FillCredit(request.add_returned(), name, state.m_returned);
@@ -273,10 +315,11 @@
       if (is_granted && has_room) {
         state.m_lots.push_back(CreditLot{wanted.m_amount, expires_at});
       }
-    } else if (TakeWaiting(holder, wanted, request.m_number)) {
-      answers.push_back(MakeAnswer(
-          wanted.m_query_from, wanted.m_query,
-          is_granted ? gen::QUOTA_CHARGED : gen::QUOTA_EXHAUSTED, retry_after));
+    } else if (WaitingQuery *query =
+                   FindWaiting(holder, wanted, request.m_number)) {
+      auto answer = DecideWaiting(holder, wanted.m_team, &state, query,
+                                  is_granted, retry_after, now);
+      if (answer) answers.push_back(std::move(*answer));
     } else if (is_granted) {
       state.m_returned += wanted.m_amount;
     }
@@ -300,7 +343,11 @@
       --holder->m_waiting_count;
       return true;
     });
-    bool is_unasked = !state.m_waiting.empty() && holder->m_sent.empty();
+    bool is_unasked =
+        holder->m_sent.empty() &&
+        std::any_of(
+            state.m_waiting.begin(), state.m_waiting.end(),
+            [now](const WaitingQuery &query) { return now >= query.m_ask_at; });
     if (is_unasked) holder->m_is_request_urgent = true;
   }
   return answers;
--- a/src/quota/credit_holder_func.h
+++ b/src/quota/credit_holder_func.h
@@ -32,6 +32,8 @@
   std::uint64_t m_number = 0;
   double m_cost = 0;
   base::TimePoint m_ends_at;           ///< the entry host waits no longer
+  base::TimePoint m_refused_at;        ///< then it is refused without credit
+  base::TimePoint m_ask_at;            ///< the leader isn't asked before
   std::uint64_t m_credit_request = 0;  ///< that asks for it; 0: none so far
 };
 
--- a/src/quota/quota_type.h
+++ b/src/quota/quota_type.h
@@ -47,19 +47,29 @@
 }
 
 /** Shares of a team's allowance. They add up to 1. */
-inline constexpr double kLifetimeShare = 0.5;  ///< what lots may hold
-inline constexpr double kDebtShare = 0.25;
-inline constexpr double kMinBurstShare = 0.25;
+inline constexpr double kLifetimeShare = 0.2;  ///< what lots may hold
+inline constexpr double kDebtShare = 0.2;
+inline constexpr double kBurstShare = 0.35;
+inline constexpr double kTermShare = 0.25;  ///< a new leader's first credit
 
 /** @return how far the bucket of a team may fall below zero. */
 inline double GetMaxDebt(const gen::Team &team, const QuotaSettings &settings) {
   return GetAllowance(team, settings) * kDebtShare;
 }
 
-/** @return the size of a team's bucket. A team without a declared burst needs
- * room for single requests. */
+/** @return the size of a team's bucket: what it may use at once. The quota
+ * binds in windows, so a short burst beyond the declared one is within it. */
 inline double GetBurst(const gen::Team &team, const QuotaSettings &settings) {
-  return std::max(team.burst(), GetAllowance(team, settings) * kMinBurstShare);
+  return team.burst() + GetAllowance(team, settings) * kBurstShare;
+}
+
+/**
+ * @return the level with which a new leader starts, whatever the former one
+ *         granted: the requests that waited for it come at once
+ */
+inline double GetTermCredit(const gen::Team &team,
+                            const QuotaSettings &settings) {
+  return GetAllowance(team, settings) * kTermShare;
 }
 
 /**
--- a/src/quota/team_bucket.cpp
+++ b/src/quota/team_bucket.cpp
@@ -42,7 +42,7 @@
   if (buckets->m_term == term) return;
   buckets->m_term = term;
   for (auto &[name, bucket] : buckets->m_teams) {
-    bucket.m_level = 0;
+    bucket.m_level = bucket.m_term_credit;
     bucket.m_filled_at = now;
   }
 }
@@ -61,6 +61,7 @@
     bucket.m_burst = GetBurst(team, settings);
     bucket.m_level = std::min(bucket.m_level, bucket.m_burst);
     bucket.m_max_debt = GetMaxDebt(team, settings);
+    bucket.m_term_credit = GetTermCredit(team, settings);
   }
   buckets->m_teams = std::move(teams);
 }
--- a/src/quota/team_bucket_func.h
+++ b/src/quota/team_bucket_func.h
@@ -23,6 +23,7 @@
   double m_rate = 0;   ///< per second
   double m_burst = 0;
   double m_max_debt = 0;
+  double m_term_credit = 0;  ///< level at the start of a term
   base::TimePoint m_filled_at;
 };
 
@@ -32,8 +33,9 @@
   std::uint64_t m_term = 0;  ///< in which the buckets were started
 };
 
-/** Empties all buckets at the start of a term: the former leader may have
- * granted all that was in its own. Does nothing within the same term. */
+/** Sets all buckets to their first level at the start of a term: the former
+ * leader may have granted all that was in its own. Does nothing within the same
+ * term. */
 void StartTerm(TeamBuckets *buckets, std::uint64_t term, base::TimePoint now);
 
 /** Takes over changed quotas. A team keeps its level, up to its new burst. */
