Test teams in tables and refuse names that no header holds

Teams had no tests. All rows of the table in docs/design/teams.md, the checks of teams and their decoding are covered now; no error text contains a key.

--- a/src/routes/table.cpp
+++ b/src/routes/table.cpp
@@ -72,6 +72,15 @@
 
 bool IsAmount(double number) { return std::isfinite(number) && number >= 0; }
 
+/** @return whether a text can be sent as the value of a header. */
+bool IsHeaderValue(const std::string &text) {
+  bool has_outer_space =
+      !text.empty() && (text.front() == ' ' || text.back() == ' ');
+  return !has_outer_space &&
+         std::none_of(text.begin(), text.end(),
+                      [](unsigned char c) { return std::iscntrl(c) != 0; });
+}
+
 /** Validates the teams. The errors don't contain keys. */
 base::Result<void> CheckTeams(const gen::RouteTable &table) {
   std::set<std::string> names;
@@ -81,6 +90,11 @@
       return MakeTeamError(team, "its name is empty or used twice",
                            "give each team a name of its own");
     }
+    if (!IsHeaderValue(team.name())) {
+      return MakeTeamError(team, "no header can hold its name",
+                           "use a name without control characters and without "
+                           "spaces at its ends");
+    }
     for (const std::string &key : team.keys()) {
       if (!key.empty() && keys.insert(key).second) continue;
       return MakeTeamError(team, "one of its keys is empty or used twice",
--- /dev/null
+++ b/tests/access.cmake
@@ -0,0 +1,1 @@
+ww_add_test(access_identify_test ww_access_lib)
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -96,6 +96,82 @@
   }
 }
 
+constexpr const char *kTeams =
+    R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/p/","kind":"safe",
+   "timeoutMs":800,"service":"s1"},
+  {"name":"r2","host":"a.example","pathPrefix":"/q/","kind":"safe",
+   "timeoutMs":800,"service":"s1","public":true}],
+ "services":[{"name":"s1"}],
+ "tenants":[{"name":"red","apiKeys":["secret-1","secret-2"],"priority":0,
+   "unit":"generate","ratePerS":29000.5,"burst":9240,"plainTokens":12},
+  {"name":"blue","apiKeys":["secret-3"],"ratePerS":40,"unit":"request"},
+  {"name":"grey","apiKeys":[]}]})";
+
+TEST(TableCodecTest, DecodesTeams) {
+  base::Result<gen::RouteTable> table = DecodeTable(kTeams);
+  ASSERT_TRUE(table) << table.error().ToString();
+  EXPECT_TRUE(routes::CheckRouteTable(*table));
+  EXPECT_FALSE(table->routes(0).is_public());
+  EXPECT_TRUE(table->routes(1).is_public());
+  ASSERT_EQ(table->teams_size(), 3);
+  const gen::Team &red = table->teams(0);
+  EXPECT_EQ(red.name(), "red");
+  EXPECT_EQ(red.keys(1), "secret-2");
+  EXPECT_TRUE(red.has_rank());
+  EXPECT_EQ(red.rank(), 0u);
+  EXPECT_EQ(red.unit(), gen::QUOTA_TOKENS);
+  EXPECT_EQ(red.rate_per_second(), 29'000.5);
+  EXPECT_EQ(red.burst(), 9'240);
+  EXPECT_EQ(red.plain_cost(), 12u);
+  EXPECT_FALSE(table->teams(1).has_rank());
+  EXPECT_EQ(table->teams(1).unit(), gen::QUOTA_REQUESTS);
+  EXPECT_EQ(table->teams(2).keys_size(), 0);
+  EXPECT_EQ(DecodeTable(kTableDocument)->teams_size(), 0);
+}
+
+// A malformed team that is skipped would lock its callers out, or leave them
+// without a limit. Errors are logged and sent back, so that they must not
+// contain keys.
+TEST(TableCodecTest, RefusesMalformedTeamsWithoutNamingKeys) {
+  using Texts = std::vector<std::pair<std::string, std::string>>;
+  for (const auto &[field, value] :
+       Texts{{R"("name":"red")", R"("name":7)"},
+             {R"("name":"red",)", ""},
+             {R"("apiKeys":["secret-1","secret-2"],)", ""},
+             {R"(["secret-1","secret-2"])", R"("secret-1")"},
+             {R"(["secret-1","secret-2"])", R"({"secret-1":1})"},
+             {R"(["secret-1","secret-2"])", R"(["secret-1",7])"},
+             {R"(["secret-1","secret-2"])", R"(["secret-1",["secret-2"]])"},
+             {R"(["secret-1","secret-2"])", R"(["secret-1",null])"},
+             {R"(["secret-1","secret-2"])", R"(["secret-1" "secret-2"])"},
+             {R"("priority":0)", R"("priority":-1)"},
+             {R"("priority":0)", R"("priority":"secret-1")"},
+             {R"("ratePerS":29000.5)", R"("ratePerS":"secret-1")"},
+             {R"("burst":9240)", R"("burst":[])"},
+             {R"("plainTokens":12)", R"("plainTokens":4294967296)"},
+             {R"("tenants":[)", R"("tenants":["secret-1",)"},
+             {R"("tenants":[)", R"("tenants":7,"x":[)"},
+             {R"("tenants":[)", R"("tenants":null,"x":[)"},
+             // Well-formed, refused by the check of the table.
+             {R"("secret-3")", R"("secret-1")"},
+             {R"("secret-3")", R"("secret-3","")"},
+             {R"("name":"blue")", R"("name":"red")"},
+             {R"("ratePerS":40)", R"("ratePerS":-40)"}}) {
+    std::string document = kTeams;
+    document.replace(document.find(field), field.size(), value);
+    base::Result<gen::RouteTable> table = DecodeTable(document);
+    std::string error;
+    if (!table) {
+      error = table.error().ToString();
+    } else if (auto done = routes::CheckRouteTable(*table); !done) {
+      error = done.error().ToString();
+    }
+    EXPECT_NE(error, "") << field << " " << value;
+    EXPECT_EQ(error.find("secret"), std::string::npos) << error;
+  }
+}
+
 net::HttpRequest MakePost(const std::string &target, const std::string &body) {
   net::HttpRequest request;
   request.m_method = "POST";
@@ -321,6 +397,52 @@
   EXPECT_EQ(headers.Get("X-Wasabiwind-Request-Urgency"), "2");
 }
 
+// The scheme of a credential has no case; other schemes hold no key.
+TEST(GatewayCodecTest, ReadsTheKeyOfACredential) {
+  auto read = [](const std::string &credential) {
+    net::HttpRequest request;
+    request.m_headers.Add("Authorization", credential);
+    return MakeGatewayProtocol().m_decode_request(request).m_key;
+  };
+  EXPECT_EQ(read("Bearer secret-1"), "secret-1");
+  EXPECT_EQ(read("bearer  secret-1"), "secret-1");
+  for (const char *other : {"", "Bearer", "Bearer ", "Bearer   ", "secret-1",
+                            "Basic secret-1", "Bearersecret-1"}) {
+    EXPECT_EQ(read(other), "") << other;
+  }
+}
+
+net::HttpHeaders ForwardCredentials(const gateway::ForwardMetadata &metadata) {
+  net::HttpRequest request = MakeCallerRequest();
+  request.m_headers.Add("Authorization", "Bearer secret-1");
+  request.m_headers.Add("authorization", "Bearer secret-2");
+  request.m_headers.Add("x-wasabiwind-tenant", "forged");
+  request.m_headers.Add("X-Wasabiwind-Tenant", "forged");
+  return MakeGatewayProtocol().m_make_upstream_headers(request, metadata);
+}
+
+// A runner must see no key, and no name of a team that the caller wrote.
+TEST(GatewayCodecTest, SendsTheTeamInsteadOfTheCredential) {
+  gateway::ForwardMetadata metadata;
+  metadata.m_drops_credential = true;
+  for (const std::string &team : {std::string("red"), std::string()}) {
+    metadata.m_team = team;  // none on a public route
+    net::HttpHeaders headers = ForwardCredentials(metadata);
+    EXPECT_EQ(headers.Get("X-Wasabiwind-Tenant"), team);
+    for (const net::HttpHeader &header : headers.m_items) {
+      EXPECT_EQ(header.m_value.find("secret"), std::string::npos);
+      EXPECT_EQ(header.m_value.find("forged"), std::string::npos);
+    }
+  }
+}
+
+// Deployments without teams pass credentials on as before.
+TEST(GatewayCodecTest, PassesCredentialsOnWithoutTeams) {
+  net::HttpHeaders headers = ForwardCredentials(gateway::ForwardMetadata());
+  EXPECT_EQ(headers.Get("Authorization"), "Bearer secret-1");
+  EXPECT_EQ(headers.Get("X-Wasabiwind-Tenant"), "forged");
+}
+
 gateway::ResponseMetadata DecodeResponseHead(int status,
                                              const net::HttpHeaders &headers) {
   net::HttpResponse head;
--- a/tests/routes_table_test.cpp
+++ b/tests/routes_table_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+#include <string>
+#include <vector>
+
 #include "routes/table_func.h"
 
 namespace wasabiwind::routes {
@@ -117,5 +121,106 @@
   EXPECT_EQ(GetStreamPauseTimeout(route), std::chrono::milliseconds(10'000));
 }
 
+gen::Team MakeTeam(const std::string &name,
+                   const std::vector<std::string> &keys) {
+  gen::Team team;
+  team.set_name(name);
+  for (const std::string &key : keys) team.add_keys(key);
+  return team;
+}
+
+gen::RouteTable MakeTableWithTeams() {
+  gen::RouteTable table = MakeTable();
+  *table.add_teams() = MakeTeam("red", {"secret-1", "secret-2"});
+  *table.add_teams() = MakeTeam("blue", {"secret-3"});
+  *table.add_teams() = MakeTeam("grey", {});
+  return table;
+}
+
+// A team whose keys were all revoked stays valid, and so does one whose rate
+// is 0.
+TEST(RouteTableTest, AcceptsProperTeams) {
+  gen::RouteTable table = MakeTableWithTeams();
+  table.mutable_teams(0)->set_rate_per_second(29'000);
+  table.mutable_teams(0)->set_burst(0.5);
+  EXPECT_TRUE(CheckRouteTable(table));
+  RouteIndexPtr index = MakeRouteIndex(table);
+  EXPECT_EQ(FindTeam(*index, "secret-2")->name(), "red");
+  EXPECT_EQ(FindTeam(*index, "secret-3")->name(), "blue");
+  EXPECT_EQ(FindTeam(*index, ""), nullptr);
+  EXPECT_EQ(FindTeam(*index, "red"), nullptr);
+}
+
+// With one key in two teams, hosts could charge different teams for a request.
+// The error reaches the operator and the log, so that it must contain no key.
+TEST(RouteTableTest, RefusesSharedAndEmptyKeysWithoutNamingThem) {
+  for (const char *key : {"secret-1", "secret-3", ""}) {
+    gen::RouteTable table = MakeTableWithTeams();
+    table.mutable_teams(1)->add_keys(key);
+    base::Result<void> done = CheckRouteTable(table);
+    ASSERT_FALSE(done) << key;
+    EXPECT_EQ(done.error().ToString().find("secret"), std::string::npos);
+    EXPECT_NE(done.error().ToString().find("blue"), std::string::npos);
+  }
+}
+
+// Quotas and refunds are found by the team's name.
+TEST(RouteTableTest, RefusesMissingNamesOfTeamsAndNamesUsedTwice) {
+  for (const char *name : {"", "blue"}) {
+    gen::RouteTable table = MakeTableWithTeams();
+    table.mutable_teams(0)->set_name(name);
+    EXPECT_FALSE(CheckRouteTable(table)) << name;
+  }
+}
+
+// The name is sent to runners in a header; a line break in it would add headers
+// of its own.
+TEST(RouteTableTest, RefusesNamesOfTeamsThatNoHeaderCanHold) {
+  for (const std::string &name :
+       {std::string("red\r\nX-Other: 1"), std::string("red\n"),
+        std::string("r\0d", 3), std::string("red\x7f"), std::string(" red"),
+        std::string("red ")}) {
+    gen::RouteTable table = MakeTableWithTeams();
+    table.mutable_teams(0)->set_name(name);
+    EXPECT_FALSE(CheckRouteTable(table)) << name;
+  }
+  gen::RouteTable table = MakeTableWithTeams();
+  table.mutable_teams(0)->set_name(
+      "r\xc3\xa9"
+      "d team");
+  EXPECT_TRUE(CheckRouteTable(table));
+}
+
+// A rate that is no number would make each comparison with it false.
+TEST(RouteTableTest, RefusesRatesAndBurstsThatAreNoAmounts) {
+  using Limits = std::numeric_limits<double>;
+  for (double bad : {-1.0, -1e-9, Limits::infinity(), -Limits::infinity(),
+                     Limits::quiet_NaN()}) {
+    gen::RouteTable table = MakeTableWithTeams();
+    table.mutable_teams(0)->set_rate_per_second(bad);
+    EXPECT_FALSE(CheckRouteTable(table)) << bad;
+    table = MakeTableWithTeams();
+    table.mutable_teams(0)->set_burst(bad);
+    EXPECT_FALSE(CheckRouteTable(table)) << bad;
+  }
+}
+
+// A team's rank counts instead of the route's, also if it is 0 or less urgent.
+TEST(RouteTableTest, RankOfTheTeamComesBeforeThatOfTheRoute) {
+  gen::Route route;
+  route.set_rank(2);
+  route.set_objective_ms(500);
+  gen::Team team;
+  team.set_rank(7);
+  EXPECT_EQ(GetRank(route, nullptr), 2u);
+  EXPECT_EQ(GetRank(route, &team), 2u);  // rank without has_rank isn't set
+  team.set_has_rank(true);
+  EXPECT_EQ(GetRank(route, &team), 7u);
+  EXPECT_GT(GetUrgency(route, &team), GetUrgency(route, nullptr));
+  team.set_rank(0);
+  EXPECT_EQ(GetRank(route, &team), 0u);
+  EXPECT_LT(GetUrgency(route, &team), GetUrgency(route, nullptr));
+}
+
 }  // namespace
 }  // namespace wasabiwind::routes
