Judge requests by the table that was confirmed

A request that waited for a confirmation was judged by the table from before the wait: with a key added meanwhile it was refused for good with 401, with one revoked meanwhile it ended as key_revoked. Route and table are now looked up again after the wait. An entry host that learned of a newer table from a confirmation didn't request it, so that it refused keys while the followed control host was behind. A request under way ended as revoked when the new table had no teams at all.

--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -130,15 +130,6 @@
   return false;
 }
 
-void RecordAnnouncement(Follower *follower, std::uint64_t announced,
-                        base::TimePoint now) {
-  if (announced <= follower->m_announced_version) return;
-  follower->m_announced_version = announced;
-  if (follower->m_outdated_since == base::TimePoint()) {
-    follower->m_outdated_since = now;
-  }
-}
-
 /** Moves to a received table. @pre it is newer than the current one */
 void AdoptRoutes(Follower *follower, const gen::RouteTable &routes,
                  FactUpdateResult *result, base::TimePoint now) {
@@ -316,6 +307,17 @@
   return followed;
 }
 
+void RecordAnnouncedRoutes(Follower *follower, std::uint64_t announced,
+                           base::TimePoint now) {
+  bool is_new = announced > follower->m_routes_version &&
+                announced > follower->m_announced_version;
+  if (!is_new) return;
+  follower->m_announced_version = announced;
+  if (follower->m_outdated_since == base::TimePoint()) {
+    follower->m_outdated_since = now;
+  }
+}
+
 std::vector<OutMessage> TickFollower(Follower *follower, base::TimePoint now) {
   ForgetSilentPublishers(follower, now);
   ForgetUpstreams(&follower->m_view, now);
@@ -368,9 +370,7 @@
   result.m_changed_upstreams = std::move(outcome.m_changed_upstreams);
   std::uint64_t announced =
       std::max(update.routes_version(), update.newest_routes_version());
-  if (announced > follower->m_routes_version) {
-    RecordAnnouncement(follower, announced, now);
-  }
+  RecordAnnouncedRoutes(follower, announced, now);
   if (update.routes().version() > follower->m_routes_version) {
     AdoptRoutes(follower, update.routes(), &result, now);
   }
--- a/src/fleet/follower_func.h
+++ b/src/fleet/follower_func.h
@@ -94,6 +94,11 @@
  */
 std::vector<OutMessage> TickFollower(Follower *follower, base::TimePoint now);
 
+/** Records that a newer route table exists, so that it is requested from other
+ * publishers if the followed one doesn't send it. */
+void RecordAnnouncedRoutes(Follower *follower, std::uint64_t announced,
+                           base::TimePoint now);
+
 /** @return a request to each followed publisher, to announce a change of this
  * host. */
 std::vector<OutMessage> AnnounceToFollowed(Follower *follower,
--- a/src/gateway/caller_access.cpp
+++ b/src/gateway/caller_access.cpp
@@ -18,6 +18,10 @@
   return bounds.strict_revocation() == "true";
 }
 
+bool NeedsKey(const RequestScope &scope) {
+  return access::HasTeams(*scope.m_routes) && !scope.m_route->is_public();
+}
+
 }  // namespace
 
 /** @return whether keys may be accepted and refused by the current table. */
@@ -51,10 +55,13 @@
  * @pre the route is known
  */
 bool Gateway::AdmitCaller(RequestScope *scope) {
-  bool needs_key =
-      access::HasTeams(*scope->m_routes) && !scope->m_route->is_public();
-  if (!needs_key) return true;
-  if (!IsTableConfirmed(base::Clock::now())) WaitForConfirmation(scope);
+  if (!NeedsKey(*scope)) return true;
+  if (!IsTableConfirmed(base::Clock::now())) {
+    WaitForConfirmation(scope);
+    // The confirmation is about the current table, which may be a newer one.
+    if (!FindRouteOfRequest(scope)) return false;
+    if (!NeedsKey(*scope)) return true;
+  }
   // The clock is read after the request: a key that was revoked for longer than
   // the bound when the request was sent is refused, whatever stops this host
   // later.
@@ -83,7 +90,7 @@
 /** @return whether the current table no longer gives the request's key to its
  * team, or isn't confirmed any more. */
 bool Gateway::IsKeyRevoked(const RequestScope &scope) const {
-  if (scope.m_team == nullptr) return false;
+  if (scope.m_team == nullptr || !access::HasTeams(*m_routes)) return false;
   if (!IsTableConfirmed(base::Clock::now())) return true;
   const gen::Team *team = routes::FindTeam(*m_routes, scope.m_metadata.m_key);
   return team == nullptr || team->name() != scope.m_team->name();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -197,8 +197,11 @@
                             const gen::FleetMessage &message) {
   if (message.has_freshness_answer()) {
     std::uint64_t version = m_routes ? m_routes->m_table.version() : 0;
-    (void)fleet::HandleFreshnessAnswer(&m_freshness, message.freshness_answer(),
-                                       version, base::Clock::now());
+    base::TimePoint now = base::Clock::now();
+    const gen::FreshnessAnswer &answer = message.freshness_answer();
+    if (fleet::HandleFreshnessAnswer(&m_freshness, answer, version, now)) {
+      fleet::RecordAnnouncedRoutes(&m_follower, answer.routes_version(), now);
+    }
     m_view_changed.notify_all();
     return;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,7 @@
 
   // request.cpp
   bool Admit(RequestScope *scope);
+  bool FindRouteOfRequest(RequestScope *scope);
   void WaitForRoutes(RequestScope *scope);
   void Serve(RequestScope *scope);
   bool EndIfDue(RequestScope *scope, base::TimePoint now);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -153,6 +153,20 @@
   }
 }
 
+/**
+ * Finds the route in the current table.
+ * @return false if the request was refused
+ * @pre a table is known
+ */
+bool Gateway::FindRouteOfRequest(RequestScope *scope) {
+  scope->m_routes = m_routes;
+  scope->m_route = routes::FindRoute(*m_routes, scope->m_metadata.m_host,
+                                     scope->m_request->Path());
+  if (scope->m_route != nullptr) return true;
+  Refuse(scope, 404, "no_route", "no route has this host and path");
+  return false;
+}
+
 /** Finds route and service. @return false if the request has ended */
 bool Gateway::Admit(RequestScope *scope) {
   scope->m_metadata = m_protocol->m_decode_request(*scope->m_request);
@@ -162,24 +176,19 @@
     scope->m_outcome = "caller_gone";
     return false;
   }
-  scope->m_routes = m_routes;
   if (m_routes == nullptr) {
     Refuse(scope, 503, "starting", "no routes are known yet; try another host");
     return false;
   }
-  scope->m_route = routes::FindRoute(*m_routes, scope->m_metadata.m_host,
-                                     scope->m_request->Path());
-  if (scope->m_route == nullptr) {
-    Refuse(scope, 404, "no_route", "no route has this host and path");
-    return false;
-  }
+  if (!FindRouteOfRequest(scope)) return false;
   if (m_is_refusing) {
     Refuse(scope, 503, kStoppingReason, "this host stops; use another one");
     return false;
   }
   if (!AdmitCaller(scope)) return false;
   scope->m_service = routes::FindService(
-      *m_routes, routes::ChooseService(*scope->m_route, scope->m_request_hash));
+      *scope->m_routes,
+      routes::ChooseService(*scope->m_route, scope->m_request_hash));
   scope->m_prefix_keys = MakePrefixKeys(scope->m_metadata);
   scope->m_part_keys = MakePartKeys(scope->m_metadata);
   scope->m_request_key = MakeRequestKey(*scope->m_request, scope->m_metadata);
@@ -189,7 +198,7 @@
   scope->m_deadline = scope->m_started_at + std::min(timeout, caller_timeout);
   EarnBudget(&GetRetryBudget(scope->m_service->name()));
   scope->m_is_model_declared =
-      routes::FindModel(*m_routes, scope->m_service->name(),
+      routes::FindModel(*scope->m_routes, scope->m_service->name(),
                         scope->m_metadata.m_model) != nullptr &&
       IsAdapterName(scope->m_metadata.m_adapter);
   if (scope->m_is_model_declared) {
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -11,7 +11,9 @@
 
 #include <boost/fiber/fiber.hpp>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -172,11 +174,17 @@
  public:
   /** @param addresses of further runners, that the caller runs */
   explicit Harness(std::vector<Script> scripts,
-                   const std::vector<std::string> &addresses = {})
+                   const std::vector<std::string> &addresses = {},
+                   const gen::FleetEntrySettings &settings = MakeSettings())
       : m_protocol(platform::MakeGatewayProtocol()),
-        m_gateway(MakeSettings(), &m_protocol,
-                  [this](const std::string &, const gen::FleetMessage &sent) {
+        m_gateway(settings, &m_protocol,
+                  [this](const std::string &to, const gen::FleetMessage &sent) {
+                    if (sent.follow().wants_routes_only())
+                      ++m_routes_requests[to];
                     if (sent.has_use()) m_use_reports.push_back(sent.use());
+                    if (sent.has_freshness_query()) {
+                      AnswerFreshness(to, sent.freshness_query());
+                    }
                   }) {
     for (Script &script : scripts) {
       m_runners.push_back(std::make_unique<FakeRunner>(std::move(script)));
@@ -240,10 +248,36 @@
     if (!prompt_parts.empty()) {
       request.m_headers.Add("X-Wasabiwind-Prefix-Hash", prompt_parts);
     }
+    for (const net::HttpHeader &header : m_call_headers.m_items) {
+      request.m_headers.Add(header.m_name, header.m_value);
+    }
     request.m_body = "{}";
     m_gateway.HandleCaller(request, *exchange);
   }
 
+  /** Sends the gateway a route table, as control hosts do. */
+  void SendTable(const gen::RouteTable &table) {
+    gen::FleetMessage message;
+    gen::FactUpdate *update = message.mutable_news();
+    update->set_publisher_epoch(1);
+    update->set_routes_version(table.version());
+    *update->mutable_routes() = table;
+    m_gateway.HandleMessage(kPublisher, message);
+  }
+
+  /** Answers as a control host that knows m_confirmed_version; not at all
+   * without it. */
+  void AnswerFreshness(const std::string &from,
+                       const gen::FreshnessQuery &query) {
+    ++m_freshness_query_count;
+    if (!m_confirmed_version) return;
+    gen::FleetMessage message;
+    gen::FreshnessAnswer *answer = message.mutable_freshness_answer();
+    answer->set_number(query.number());
+    answer->set_routes_version(*m_confirmed_version);
+    m_gateway.HandleMessage(from, message);
+  }
+
   /** Quarantines parts at the gateway, as control hosts do. */
   void Quarantine(const std::vector<std::uint64_t> &parts) {
     gen::FleetMessage message;
@@ -284,6 +318,10 @@
   GatewayProtocol m_protocol;
   std::vector<gen::UseReport> m_use_reports;
   std::uint64_t m_quarantine_version = 0;
+  std::optional<std::uint64_t> m_confirmed_version;
+  int m_freshness_query_count = 0;
+  std::map<std::string, int> m_routes_requests;  ///< by control host
+  net::HttpHeaders m_call_headers;  ///< of callers, beside the usual ones
   Gateway m_gateway;
   std::vector<std::unique_ptr<FakeRunner>> m_runners;
   boost::fibers::fiber m_timers;
