Simulate freshness of route tables and query others of old answers

A control host cut off from the leader went on answering with ages that grew, and each answer kept its entry hosts from querying others, so that they refused keys after 4.5 s. Only answers younger than a second count now.

--- a/src/fleet/freshness.cpp
+++ b/src/fleet/freshness.cpp
@@ -67,7 +67,9 @@
   confirmation.m_at = sent->m_sent_at - base::milliseconds(answer.age_ms());
   state->m_sent.erase(sent);
   if (answer.is_unknown()) return false;
-  state->m_answered_at = now;
+  // A control host that has lost the leader goes on answering, with ages that
+  // grow. Others are queried too then.
+  if (now < confirmation.m_at + kFreshnessSilence) state->m_answered_at = now;
   RecordConfirmation(state, confirmation, own_version);
   return true;
 }
--- a/src/fleet/freshness_func.h
+++ b/src/fleet/freshness_func.h
@@ -42,8 +42,10 @@
   std::uint64_t m_last_number = 0;
   std::deque<SentFreshnessQuery> m_sent;  ///< oldest first, bounded
   base::TimePoint m_asked_at;
-  base::TimePoint m_answered_at;  ///< last confirmation, or the first query
-  std::size_t m_asked_count = 0;  ///< rotates over the other hosts
+  /** Last answer with a confirmation that wasn't older than kFreshnessSilence,
+   * or the first query. */
+  base::TimePoint m_answered_at;
+  std::size_t m_asked_count = 0;         ///< rotates over the other hosts
   std::optional<Confirmation> m_newest;  ///< the one with the latest time
   /** Latest time at which this host's own table was the newest. */
   std::optional<base::TimePoint> m_own_confirmed_at;
@@ -54,7 +56,8 @@
 /** Interval between the queries of a control host. Shorter, since its age adds
  * to that of its entry hosts. */
 inline constexpr base::milliseconds kControlFreshnessPeriod{200};
-/** Other hosts are queried too after this long without a confirmation. */
+/** Other hosts are queried too after this long without a confirmation that is
+ * younger than this. */
 inline constexpr base::milliseconds kFreshnessSilence{1'000};
 inline constexpr std::size_t kMaxSentFreshnessQueries = 16;
 /** Share of the revocation time for which a key is accepted after the last
@@ -63,7 +66,7 @@
 
 /**
  * @param first endpoint to query, or "" if none is known
- * @param others endpoints to query in turn while there is no confirmation
+ * @param others endpoints to query in turn while there is no recent answer
  * @return the queries that are due
  */
 std::vector<OutMessage> TickFreshness(FreshnessState *state,
--- a/tests/fleet_control.cmake
+++ b/tests/fleet_control.cmake
@@ -4,6 +4,7 @@
   WW_PLATFORM_CONTROL="$<TARGET_FILE:ww_platform_control>")
 ww_add_test(fleet_control_publisher_test ww_fleet_control_lib)
 ww_add_test(fleet_control_route_state_machine_test ww_fleet_control_lib)
+ww_add_test(fleet_freshness_test ww_fleet_control_lib)
 ww_add_test(fleet_simulation_test ww_fleet_control_lib)
 # It takes 85 s alone, most of it for the largest size.
 set_tests_properties(fleet_simulation_test PROPERTIES LABELS slow TIMEOUT 900)
