Refuse unknown teams, invalid amounts and expired lots in quotas

A control host without the table charged any team; lots that came in the wrong order outlived their expiry behind a later one; infinite and negative amounts spoilt or created credit; a refund without demand made the host ask for nothing every 100 ms.

--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -88,6 +88,17 @@
   return true;
 }
 
+/** Adds a lot in the order of expiry: grants may come in another order than
+ * their requests left, and a changed quota changes the lifetime. */
+void AddLot(TeamCreditState *state, const CreditLot &lot) {
+  auto next =
+      std::upper_bound(state->m_lots.begin(), state->m_lots.end(), lot,
+                       [](const CreditLot &left, const CreditLot &right) {
+                         return left.m_expires_at < right.m_expires_at;
+                       });
+  state->m_lots.insert(next, lot);
+}
+
 /** Adds the amounts that the waiting queries of a team need. */
 void WantForWaiting(CreditHolder *holder, const std::string &name,
                     TeamCreditState *state, SentCreditRequest *request,
@@ -111,7 +122,9 @@
                SentCreditRequest *request, base::TimePoint now) {
   double lifetime_s = std::chrono::duration<double>(lifetime).count();
   double demand = GetDemand(state, now) * lifetime_s;
-  if (demand < kMinAheadRequests * state.m_mean_cost) return;
+  bool is_little =
+      demand <= 0 || demand < kMinAheadRequests * state.m_mean_cost;
+  if (is_little) return;
   if (now < state.m_exhausted_until) return;
   double missing = demand * kAheadShare - SumLots(state);
   for (const SentCreditRequest &sent : holder.m_sent) {
@@ -196,12 +209,18 @@
                                                 const gen::QuotaQuery &query,
                                                 const gen::Team *team,
                                                 base::TimePoint now) {
-  if (team == nullptr || !HasQuota(*team)) {
+  // A host that has just started may lack the table, so it can't tell whether
+  // the team has a quota.
+  bool is_chargeable = team != nullptr && IsValidAmount(query.cost());
+  bool is_limited = is_chargeable && HasQuota(*team);
+  if (!is_limited) {
     if (query.is_repeat()) return {};
-    return {MakeAnswer(from, query.number(), gen::QUOTA_CHARGED, {})};
+    return {MakeAnswer(from, query.number(),
+                       is_chargeable ? gen::QUOTA_CHARGED : gen::QUOTA_UNKNOWN,
+                       {})};
   }
   TeamCreditState &state = holder->m_teams[query.team()];
-  double cost = std::max(0.0, query.cost());
+  double cost = query.cost();
   RecordDemand(&state, cost, now);
   bool is_charged = state.m_waiting.empty() && TrySpendLots(&state, cost, now);
   if (query.is_repeat()) {
@@ -231,12 +250,14 @@
 
 void HandleQuotaRefund(CreditHolder *holder, const gen::QuotaRefund &refund,
                        const gen::Team *team, const QuotaSettings &settings) {
-  if (team == nullptr || !HasQuota(*team)) return;
+  bool is_valid =
+      team != nullptr && HasQuota(*team) && IsValidAmount(refund.cost());
+  if (!is_valid) return;
   // The bucket has filled up since older charges, so their credit is gone.
   bool is_recent =
       base::milliseconds(refund.age_ms()) <= GetCreditLifetime(*team, settings);
   if (is_recent) {
-    holder->m_teams[refund.team()].m_returned += std::max(0.0, refund.cost());
+    holder->m_teams[refund.team()].m_returned += refund.cost();
   }
 }
 
@@ -313,7 +334,7 @@
     if (wanted.m_query == 0) {
       bool has_room = state.m_lots.size() < kMaxCreditLots;
       if (is_granted && has_room) {
-        state.m_lots.push_back(CreditLot{wanted.m_amount, expires_at});
+        AddLot(&state, CreditLot{wanted.m_amount, expires_at});
       }
     } else if (WaitingQuery *query =
                    FindWaiting(holder, wanted, request.m_number)) {
--- a/src/quota/quota_type.h
+++ b/src/quota/quota_type.h
@@ -7,6 +7,7 @@
 #include <routes.pb.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <optional>
 
@@ -37,6 +38,12 @@
   return team.rate_per_second() > 0;
 }
 
+/** @return whether a message may state this amount. Infinite ones would spoil
+ * sums for good, negative ones would create credit. */
+inline bool IsValidAmount(double amount) {
+  return std::isfinite(amount) && amount >= 0;
+}
+
 /** @return what use may exceed a team's quota in each window. */
 inline double GetAllowance(const gen::Team &team,
                            const QuotaSettings &settings) {
--- a/src/quota/team_bucket.cpp
+++ b/src/quota/team_bucket.cpp
@@ -69,6 +69,10 @@
 GrantResult GrantCredit(TeamBuckets *buckets, const std::string &team,
                         double amount, bool may_owe, base::TimePoint now) {
   GrantResult result;
+  if (!IsValidAmount(amount)) {
+    result.m_retry_after = kMaxRetryAfter;
+    return result;
+  }
   TeamBucket *bucket = FillBucket(buckets, team, now);
   if (bucket == nullptr) {
     // The table of the requester is newer, or the team has no limit any more.
@@ -89,6 +93,7 @@
 
 void ReturnCredit(TeamBuckets *buckets, const std::string &team, double amount,
                   base::TimePoint now) {
+  if (!IsValidAmount(amount)) return;
   TeamBucket *bucket = FillBucket(buckets, team, now);
   if (bucket == nullptr) return;
   bucket->m_level = std::min(bucket->m_burst, bucket->m_level + amount);
@@ -96,6 +101,7 @@
 
 void ChargeRepeat(TeamBuckets *buckets, const std::string &team, double amount,
                   base::TimePoint now) {
+  if (!IsValidAmount(amount)) return;
   if (TeamBucket *bucket = FillBucket(buckets, team, now)) {
     bucket->m_level -= amount;
   }
