--- /dev/null
+++ b/tests/quota.cmake
@@ -0,0 +1,3 @@
+ww_add_test(quota_bucket_test ww_quota_lib)
+ww_add_test(quota_holder_test ww_quota_lib)
+ww_add_test(quota_charge_test ww_quota_lib)
