--- a/tests/quota.cmake
+++ b/tests/quota.cmake
@@ -1,3 +1,4 @@
 ww_add_test(quota_bucket_test ww_quota_lib)
 ww_add_test(quota_holder_test ww_quota_lib)
 ww_add_test(quota_charge_test ww_quota_lib)
+ww_add_test(quota_simulation_test ww_fleet_control_lib)
