Refund only what certainly didn't run, and charge runs once

Each answered request that isn't a stream was refunded, as was one whose caller left while it ran, so quotas didn't bind them; a charge that came after its caller had left was kept; a send after an attempt that didn't run was charged twice.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -207,12 +207,12 @@
       RecordRunnerEnd(choice.m_upstream, scope->m_attempt.m_runner_start_ms);
     }
     m_client->CloseIdle(*endpoint);
-    if (!is_not_run) ++scope->m_send_count;
+    if (!is_not_run) RecordSend(scope);
     EndAttempt(scope, is_not_run ? AttemptEnd::kNotRun : AttemptEnd::kUnknown,
                is_not_run ? "no_connection" : "send_failed");
     return false;
   }
-  if (++scope->m_send_count > 1) ChargeRepeat(*scope);
+  RecordSend(scope);
   if (scope->m_is_model_declared) {
     bool has_adapter = !scope->m_metadata.m_adapter.empty();
     GetTargetCounts(*scope, has_adapter).m_upstreams.insert(choice.m_upstream);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -127,7 +127,7 @@
   void AwaitCharge(RequestScope *scope, PendingCharge *charge);
   void HandleQuotaAnswer(const std::string &from,
                          const gen::QuotaAnswer &answer);
-  void ChargeRepeat(const RequestScope &scope);
+  void RecordSend(RequestScope *scope);
   void RefundTeam(const RequestScope &scope);
   void SendRefund(const std::string &to, const std::string &team, double cost,
                   base::Duration age);
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -64,14 +64,17 @@
   if (!IsLimited(*scope)) return true;
   PendingCharge charge;
   AwaitCharge(scope, &charge);
+  if (charge.m_outcome == gen::QUOTA_CHARGED) {
+    scope->m_charged_by = charge.m_answered_by;
+    scope->m_charged_at = base::Clock::now();
+  }
   if (scope->m_is_caller_gone) {
     scope->m_outcome = "caller_gone";
+    RefundTeam(*scope);
     return false;
   }
   switch (charge.m_outcome) {
     case gen::QUOTA_CHARGED:
-      scope->m_charged_by = charge.m_answered_by;
-      scope->m_charged_at = base::Clock::now();
       CountCharge("charged");
       return true;
     case gen::QUOTA_EXHAUSTED:
@@ -153,21 +156,26 @@
   m_charge_answered.notify_all();
 }
 
-/** Charges a further attempt of a request, which also may run. */
-void Gateway::ChargeRepeat(const RequestScope &scope) {
-  bool is_charged = IsLimited(scope) && !scope.m_charged_by.empty();
-  if (!is_charged) return;
+/** Counts a send to an upstream. The charge of a request covers one run, so a
+ * send after an attempt that may have run is charged as well. */
+void Gateway::RecordSend(RequestScope *scope) {
+  ++scope->m_send_count;
+  bool is_repeat =
+      scope->m_possible_run_count > 0 && !scope->m_charged_by.empty();
+  if (!is_repeat) return;
   gen::FleetMessage message =
-      MakeQuery(scope, ++m_last_charge, base::Duration(0));
+      MakeQuery(*scope, ++m_last_charge, base::Duration(0));
   message.mutable_quota_query()->set_is_repeat(true);
-  m_sender(scope.m_charged_by, message);
+  m_sender(scope->m_charged_by, message);
 }
 
 /** Gives back the credit of a request that certainly didn't run. */
 void Gateway::RefundTeam(const RequestScope &scope) {
-  bool has_run = scope.m_possible_run_count != 0 || scope.m_is_head_sent ||
-                 scope.m_attempt_end == AttemptEnd::kTimedOut;
-  if (scope.m_charged_by.empty() || has_run) return;
+  // Only attempts that failed are counted as possible runs.
+  bool may_last_have_run =
+      scope.m_send_count > 0 && scope.m_attempt_end != AttemptEnd::kNotRun;
+  bool may_have_run = scope.m_possible_run_count > 0 || may_last_have_run;
+  if (scope.m_charged_by.empty() || may_have_run) return;
   SendRefund(scope.m_charged_by, scope.m_team->name(), GetRequestCost(scope),
              base::Clock::now() - scope.m_charged_at);
 }
