--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -185,6 +185,7 @@
                     if (sent.has_freshness_query()) {
                       AnswerFreshness(to, sent.freshness_query());
                     }
+                    if (m_on_sent) m_on_sent(to, sent);
                   }) {
     for (Script &script : scripts) {
       m_runners.push_back(std::make_unique<FakeRunner>(std::move(script)));
@@ -317,6 +318,9 @@
 
   GatewayProtocol m_protocol;
   std::vector<gen::UseReport> m_use_reports;
+  /** Gets each message of the gateway to other hosts. */
+  std::function<void(const std::string &to, const gen::FleetMessage &)>
+      m_on_sent;
   std::uint64_t m_quarantine_version = 0;
   std::optional<std::uint64_t> m_confirmed_version;
   int m_freshness_query_count = 0;
