Ask the next control host at once after one that can't tell

A control host without the table answers that it can't tell, and the gateway then waited out its 150 ms for each request.

--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -128,6 +128,8 @@
   std::uint64_t m_number = 0;
   std::set<std::string> m_asked;  ///< message endpoints
   gen::QuotaOutcome m_outcome = gen::QUOTA_UNKNOWN;
+  std::string m_last_asked;
+  bool m_is_declined = false;  ///< the host asked last can't tell
   std::string m_answered_by;
   bool m_is_pending = false;            ///< m_answered_by waits for credit
   base::milliseconds m_retry_after{0};  ///< with QUOTA_EXHAUSTED
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -113,19 +113,22 @@
                                  fleet::ListPublishers(m_follower),
                                  charge->m_asked, scope->m_request_hash, now)
                            : std::string();
+    charge->m_is_declined = false;
     if (!host.empty()) {
       charge->m_asked.insert(host);
+      charge->m_last_asked = host;
       m_sender(host, MakeQuery(*scope, charge->m_number, end - now));
       next = std::min(end, now + kAskNextAfter);
     }
     {
       std::unique_lock<boost::fibers::mutex> lock(m_mutex);
       m_charge_answered.wait_until(lock, next, [charge] {
-        return charge->m_outcome != gen::QUOTA_UNKNOWN;
+        return charge->m_outcome != gen::QUOTA_UNKNOWN || charge->m_is_declined;
       });
     }
     now = base::Clock::now();
-    bool is_silent = !host.empty() && charge->m_answered_by.empty();
+    // A host that can't tell, as one without a table, is avoided as well.
+    bool is_silent = !host.empty() && charge->m_outcome == gen::QUOTA_UNKNOWN;
     if (is_silent) quota::RecordSilentHost(&m_charge_hosts, host, now);
   }
   m_charges.erase(charge->m_number);
@@ -146,6 +149,12 @@
     return;
   }
   PendingCharge *charge = found->second;
+  if (answer.outcome() == gen::QUOTA_UNKNOWN) {
+    charge->m_is_pending = false;
+    charge->m_is_declined = from == charge->m_last_asked;
+    if (charge->m_is_declined) m_charge_answered.notify_all();
+    return;
+  }
   charge->m_answered_by = from;
   if (answer.outcome() == gen::QUOTA_PENDING) {
     charge->m_is_pending = true;
