--- a/tests/gateway_quota_test.cpp
+++ b/tests/gateway_quota_test.cpp
@@ -68,7 +68,7 @@
     gen::FleetMessage message;
     gen::QuotaAnswer *answer = message.mutable_quota_answer();
     answer->set_number(number);
-    answer->set_outcome(m_outcome);
+    answer->set_outcome(from == m_declining ? gen::QUOTA_UNKNOWN : m_outcome);
     answer->set_retry_after_ms(m_retry_after_ms);
     m_harness->m_gateway.HandleMessage(from, message);
   }
@@ -101,6 +101,7 @@
   gen::QuotaOutcome m_outcome = gen::QUOTA_CHARGED;
   std::uint32_t m_retry_after_ms = 0;
   std::set<std::string> m_silent;
+  std::string m_declining;
   std::vector<std::pair<std::string, gen::QuotaQuery>> m_queries;
   std::vector<std::pair<std::string, gen::QuotaRefund>> m_refunds;
 };
@@ -202,6 +203,28 @@
   });
 }
 
+// Guards against a control host without a table that delays each request.
+TEST(GatewayQuotaTest, HostThatCannotTellIsPassedOverAtOnce) {
+  RunQuotaTest({kServe}, [](FakeControlHosts *control) {
+    control->m_declining = kPublisher;
+    for (int i = 0; i < 3; ++i) {
+      FakeExchange exchange;
+      base::TimePoint start = base::Clock::now();
+      control->Call("/safe/", &exchange, "limited", "", std::to_string(i));
+      EXPECT_EQ(exchange.m_status, 200);
+      EXPECT_LT(base::Clock::now() - start, milliseconds(120));
+    }
+    // It is asked once at most, and then last for some time.
+    EXPECT_LE(control->m_queries.size(), 4U);
+    control->m_silent = {kOtherPublisher};
+    control->m_queries.clear();
+    FakeExchange refused;
+    control->Call("/safe/", &refused);
+    EXPECT_EQ(refused.m_status, 503);
+    EXPECT_EQ(control->m_queries.size(), 2U);
+  });
+}
+
 // Guards against a late answer to one request that is taken for another one's.
 TEST(GatewayQuotaTest, AnswerToAnotherQueryChargesNothing) {
   RunQuotaTest({kServe}, [](FakeControlHosts *control) {
--- a/tests/quota_simulation.h
+++ b/tests/quota_simulation.h
@@ -270,7 +270,7 @@
     double m_cost = 0;
     std::set<std::string> m_asked;
     std::string m_last;
-    bool m_has_answer = false;
+    int m_step = 0;  ///< counts the hosts that were asked
     TimePoint m_ends_at;
   };
 
@@ -455,7 +455,7 @@
     charge.m_cost = kind.m_cost;
     charge.m_ends_at = m_now + kind.m_charge_wait;
     state->m_offers.push_back(Offer{m_now, kind.m_cost});
-    AskNext(number);
+    AskNext(number, 0);
   }
 
   gen::FleetMessage MakeQuery(const Charge &charge, std::uint64_t number) {
@@ -470,13 +470,13 @@
   }
 
   /** See Gateway::AwaitCharge. */
-  void AskNext(std::uint64_t number) {
+  void AskNext(std::uint64_t number, int step) {
     auto found = m_charges.find(number);
-    if (found == m_charges.end()) return;
+    if (found == m_charges.end() || found->second.m_step != step) return;
     Charge &charge = found->second;
+    ++charge.m_step;
     ChargeHosts *hosts = &m_entries[static_cast<std::size_t>(charge.m_entry)];
-    bool is_silent = !charge.m_last.empty() && !charge.m_has_answer;
-    if (is_silent) RecordSilentHost(hosts, charge.m_last, m_now);
+    if (!charge.m_last.empty()) RecordSilentHost(hosts, charge.m_last, m_now);
     charge.m_last.clear();
     if (m_now >= charge.m_ends_at) {
       Finish(number, gen::QUOTA_UNKNOWN, "");
@@ -499,7 +499,8 @@
            MakeQuery(charge, number));
       next = std::min(next, m_now + kAskNextAfter);
     }
-    At(next, [this, number] { AskNext(number); });
+    step = charge.m_step;
+    At(next, [this, number, step] { AskNext(number, step); });
   }
 
   void HandleAnswer(const std::string &from, const gen::QuotaAnswer &answer) {
@@ -507,8 +508,11 @@
     if (found == m_charges.end()) return;
     RecordAnsweringHost(
         &m_entries[static_cast<std::size_t>(found->second.m_entry)], from);
-    found->second.m_has_answer = true;
-    if (answer.outcome() == gen::QUOTA_UNKNOWN) return;
+    if (answer.outcome() == gen::QUOTA_UNKNOWN) {
+      bool is_declined = from == found->second.m_last;
+      if (is_declined) AskNext(answer.number(), found->second.m_step);
+      return;
+    }
     Finish(answer.number(), answer.outcome(), from);
   }
 
