Fuzz the messages of quotas

Damaged queries, refunds, credit requests and grants reached the credit of teams unchecked by any fuzz program. The decoders fuzz now plays them against one control host and leader, and checks that sums stay finite, buckets bounded and unknown teams out.

--- a/fuzz/platform_decoders_fuzz.cpp
+++ b/fuzz/platform_decoders_fuzz.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <cmath>
 #include <cstdlib>
 #include <string>
 
@@ -15,6 +16,8 @@
 #include "net/endpoint_type.h"
 #include "platform/control_protocol_func.h"
 #include "platform/table_codec_func.h"
+#include "quota/credit_holder_func.h"
+#include "quota/team_bucket_func.h"
 #include "routes/table_func.h"
 
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the inputs");
@@ -145,19 +148,159 @@
   fleet::TickFollower(&follower, base::TimePoint() + base::milliseconds(600));
 }
 
+/** Control host and leader in one, with a team of each unit. */
+struct QuotaHosts {
+  QuotaHosts() {
+    for (const char *name : {"a", "b"}) {
+      gen::Team *team = m_table.add_teams();
+      team->set_name(name);
+      team->set_unit(gen::QUOTA_TOKENS);
+      team->set_rate_per_second(29'000);
+      team->set_burst(1'000);
+    }
+    for (const gen::Team &team : m_table.teams()) m_teams[team.name()] = &team;
+    m_settings.m_slack = 110'000;
+    quota::SetQuotas(&m_buckets, m_table, m_settings, m_now);
+  }
+
+  gen::RouteTable m_table;
+  std::map<std::string, const gen::Team *> m_teams;
+  quota::QuotaSettings m_settings;
+  quota::CreditHolder m_holder;
+  quota::TeamBuckets m_buckets;
+  base::TimePoint m_now{base::seconds(100)};
+};
+
+gen::FleetMessage MakeQuotaMessage(Random *random, const QuotaHosts &hosts) {
+  gen::FleetMessage message;
+  const char *team = NextRandomBelow(random, 2) == 0 ? "a" : "b";
+  auto cost = static_cast<double>(NextRandomBelow(random, 10'000));
+  std::uint64_t number = NextRandomBelow(random, 1'000);
+  auto fill = [team, cost](gen::TeamCredit *credit) {
+    credit->set_team(team);
+    credit->set_amount(cost);
+  };
+  switch (NextRandomBelow(random, 5)) {
+    case 0: {
+      gen::QuotaQuery *query = message.mutable_quota_query();
+      query->set_number(number);
+      query->set_team(team);
+      query->set_cost(cost);
+      query->set_wait_ms(500);
+      query->set_is_repeat(number % 5 == 0);
+      break;
+    }
+    case 1:
+      message.mutable_quota_answer()->set_number(number);
+      message.mutable_quota_answer()->set_outcome(gen::QUOTA_CHARGED);
+      break;
+    case 2:
+      message.mutable_quota_refund()->set_team(team);
+      message.mutable_quota_refund()->set_cost(cost);
+      break;
+    case 3:
+      message.mutable_credit_request()->set_number(number);
+      fill(message.mutable_credit_request()->add_wanted());
+      fill(message.mutable_credit_request()->add_returned());
+      fill(message.mutable_credit_request()->add_repeats());
+      break;
+    default: {
+      gen::CreditGrant *grant = message.mutable_credit_grant();
+      grant->set_number(hosts.m_holder.m_last_number);
+      for (std::uint64_t i = 0; i < 4; ++i) fill(grant->add_granted());
+    }
+  }
+  return message;
+}
+
+void HandleQuotaMessage(QuotaHosts *hosts, const gen::FleetMessage &message) {
+  quota::CreditHolder *holder = &hosts->m_holder;
+  const gen::QuotaQuery &query = message.quota_query();
+  auto team = hosts->m_teams.find(
+      message.has_quota_query() ? query.team() : message.quota_refund().team());
+  const gen::Team *known =
+      team == hosts->m_teams.end() ? nullptr : team->second;
+  if (message.has_quota_query()) {
+    quota::HandleQuotaQuery(holder, "e1", query, known, hosts->m_now);
+  }
+  if (message.has_quota_refund()) {
+    quota::HandleQuotaRefund(holder, message.quota_refund(), known,
+                             hosts->m_settings);
+  }
+  for (const gen::TeamCredit &credit : message.credit_request().returned()) {
+    quota::ReturnCredit(&hosts->m_buckets, credit.team(), credit.amount(),
+                        hosts->m_now);
+  }
+  for (const gen::TeamCredit &credit : message.credit_request().repeats()) {
+    quota::ChargeRepeat(&hosts->m_buckets, credit.team(), credit.amount(),
+                        hosts->m_now);
+  }
+  for (const gen::TeamCredit &credit : message.credit_request().wanted()) {
+    quota::GrantCredit(&hosts->m_buckets, credit.team(), credit.amount(),
+                       !credit.is_ahead(), hosts->m_now);
+  }
+  quota::HandleCreditGrant(holder, message.credit_grant(), hosts->m_teams,
+                           hosts->m_settings, hosts->m_now);
+}
+
+/** Damaged messages mustn't spoil sums, create credit or fill the memory. */
+void CheckQuotaState(const QuotaHosts &hosts, const std::string &input) {
+  std::size_t waiting = 0;
+  for (const auto &[name, state] : hosts.m_holder.m_teams) {
+    if (!hosts.m_teams.contains(name)) Fail("an unknown team is kept", input);
+    waiting += state.m_waiting.size();
+    bool is_sound = std::isfinite(state.m_demand_per_s) &&
+                    quota::IsValidAmount(state.m_returned) &&
+                    quota::IsValidAmount(state.m_repeats);
+    for (const quota::CreditLot &lot : state.m_lots) {
+      is_sound = is_sound && quota::IsValidAmount(lot.m_amount);
+    }
+    if (!is_sound) Fail("credit of a team is spoilt", input);
+    if (state.m_lots.size() > quota::kMaxCreditLots) {
+      Fail("lots have no bound", input);
+    }
+  }
+  if (waiting != hosts.m_holder.m_waiting_count) Fail("waits differ", input);
+  if (waiting > quota::kMaxWaitingQueries) Fail("waits have no bound", input);
+  for (const auto &[name, bucket] : hosts.m_buckets.m_teams) {
+    bool is_sound =
+        std::isfinite(bucket.m_level) && bucket.m_level <= bucket.m_burst;
+    if (!is_sound) Fail("a bucket is spoilt", input);
+  }
+}
+
+/** @return whether the message could be parsed */
+bool CheckQuotaMessage(Random *random, QuotaHosts *hosts) {
+  std::string bytes = MakeQuotaMessage(random, *hosts).SerializeAsString();
+  fuzz::Mutate(random, &bytes);
+  hosts->m_now += base::milliseconds(NextRandomBelow(random, 40));
+  quota::ExpireCredit(&hosts->m_holder, hosts->m_now);
+  quota::MakeCreditRequest(&hosts->m_holder, hosts->m_teams, hosts->m_settings,
+                           hosts->m_now);
+  gen::FleetMessage received;
+  if (!received.ParseFromString(bytes)) return false;
+  HandleQuotaMessage(hosts, received);
+  CheckQuotaState(*hosts, bytes);
+  return true;
+}
+
 int Run() {
   Random random{absl::GetFlag(FLAGS_seed)};
   int count = absl::GetFlag(FLAGS_count);
   int accepted = 0;
+  int quota_messages = 0;
+  QuotaHosts hosts;
   for (int i = 0; i < count; ++i) {
     std::string path = i % 4 == 0 ? MakeInput(&random, kPaths) : kPaths[i % 2];
     accepted += CheckReport(path, MakeInput(&random, kReports)) ? 1 : 0;
     accepted += CheckTable(MakeInput(&random, kTables)) ? 1 : 0;
     CheckUpdate(&random);
+    quota_messages += CheckQuotaMessage(&random, &hosts) ? 1 : 0;
   }
-  fmt::print("{} inputs, {} accepted\n", 2 * count, accepted);
+  fmt::print("{} inputs, {} accepted; {} quota messages, {} parsed\n",
+             2 * count, accepted, count, quota_messages);
   // Inputs that are all refused test nothing but the refusal.
-  return accepted * 20 < count ? 1 : 0;
+  return accepted * 20 < count || quota_messages * 20 < count ? 1 : 0;
 }
 
 }  // namespace
