--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -128,7 +128,8 @@
     }
     now = base::Clock::now();
     // A host that can't tell, as one without a table, is avoided as well.
-    bool is_silent = !host.empty() && charge->m_outcome == gen::QUOTA_UNKNOWN;
+    bool is_silent = !host.empty() && !charge->m_is_pending &&
+                     charge->m_outcome == gen::QUOTA_UNKNOWN;
     if (is_silent) quota::RecordSilentHost(&m_charge_hosts, host, now);
   }
   m_charges.erase(charge->m_number);
