--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -124,6 +124,10 @@
 
   // team_charge.cpp
   bool ChargeTeam(RequestScope *scope);
+  std::string ChooseHostToCharge(const RequestScope &scope,
+                                 const PendingCharge &charge,
+                                 base::TimePoint now) const;
+  void WaitForCharge(const PendingCharge &charge, base::TimePoint end);
   void AwaitCharge(RequestScope *scope, PendingCharge *charge);
   void HandleQuotaAnswer(const std::string &from,
                          const gen::QuotaAnswer &answer);
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -16,6 +16,9 @@
 constexpr base::milliseconds kMaxChargeWait{2'000};
 constexpr double kChargeWaitShare = 0.25;
 constexpr std::size_t kMaxAskedHosts = 3;
+/** A control host that said that a query waits is asked again after this long,
+ * since its answer may be lost, or the host itself. */
+constexpr base::milliseconds kAskAgainAfter{400};
 /** A request waits for credit during this share of its objective. */
 constexpr double kCreditWaitShare = 0.25;
 
@@ -91,6 +94,25 @@
   }
 }
 
+/** @return the control host to ask next, or "" if all were asked. */
+std::string Gateway::ChooseHostToCharge(const RequestScope &scope,
+                                        const PendingCharge &charge,
+                                        base::TimePoint now) const {
+  if (charge.m_is_pending) return charge.m_answered_by;
+  if (charge.m_asked.size() >= kMaxAskedHosts) return "";
+  return quota::ChooseChargeHost(m_charge_hosts, m_follower.m_choice.m_current,
+                                 fleet::ListPublishers(m_follower),
+                                 charge.m_asked, scope.m_request_hash, now);
+}
+
+/** Waits until a charge has an outcome or its last host declined. */
+void Gateway::WaitForCharge(const PendingCharge &charge, base::TimePoint end) {
+  std::unique_lock<boost::fibers::mutex> lock(m_mutex);
+  m_charge_answered.wait_until(lock, end, [&charge] {
+    return charge.m_outcome != gen::QUOTA_UNKNOWN || charge.m_is_declined;
+  });
+}
+
 /** Asks control hosts, one after another, until one has charged or refused. */
 void Gateway::AwaitCharge(RequestScope *scope, PendingCharge *charge) {
   base::TimePoint start = base::Clock::now();
@@ -104,27 +126,18 @@
   base::TimePoint now = start;
   while (now < end && charge->m_outcome == gen::QUOTA_UNKNOWN &&
          !scope->m_exchange->IsPeerGone()) {
-    base::TimePoint next = end;
-    bool may_ask =
-        !charge->m_is_pending && charge->m_asked.size() < kMaxAskedHosts;
-    std::string host = may_ask
-                           ? quota::ChooseChargeHost(
-                                 m_charge_hosts, m_follower.m_choice.m_current,
-                                 fleet::ListPublishers(m_follower),
-                                 charge->m_asked, scope->m_request_hash, now)
-                           : std::string();
+    std::string host = ChooseHostToCharge(*scope, *charge, now);
     charge->m_is_declined = false;
+    charge->m_is_pending = false;
     if (!host.empty()) {
       charge->m_asked.insert(host);
       charge->m_last_asked = host;
       m_sender(host, MakeQuery(*scope, charge->m_number, end - now));
-      next = std::min(end, now + kAskNextAfter);
     }
-    {
-      std::unique_lock<boost::fibers::mutex> lock(m_mutex);
-      m_charge_answered.wait_until(lock, next, [charge] {
-        return charge->m_outcome != gen::QUOTA_UNKNOWN || charge->m_is_declined;
-      });
+    WaitForCharge(*charge,
+                  host.empty() ? end : std::min(end, now + kAskNextAfter));
+    if (charge->m_is_pending) {
+      WaitForCharge(*charge, std::min(end, now + kAskAgainAfter));
     }
     now = base::Clock::now();
     // A host that can't tell, as one without a table, is avoided as well.
--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -220,6 +220,15 @@
                        {})};
   }
   TeamCreditState &state = holder->m_teams[query.team()];
+  // The sender may have missed an answer, so it asks again.
+  bool is_waiting = std::any_of(state.m_waiting.begin(), state.m_waiting.end(),
+                                [&](const WaitingQuery &item) {
+                                  return item.m_from == from &&
+                                         item.m_number == query.number();
+                                });
+  if (is_waiting) {
+    return {MakeAnswer(from, query.number(), gen::QUOTA_PENDING, {})};
+  }
   double cost = query.cost();
   RecordDemand(&state, cost, now);
   bool is_charged = state.m_waiting.empty() && TrySpendLots(&state, cost, now);
