Decline charges at once at control hosts that know no leader

A control host without a leader now declines a query that needs credit, so that the next one is asked at once, and all are asked again every 200 ms.

--- a/src/fleet_control/quota_service.cpp
+++ b/src/fleet_control/quota_service.cpp
@@ -50,8 +50,10 @@
 void QuotaService::HandleQuery(const std::string &from,
                                const gen::QuotaQuery &query,
                                base::TimePoint now) {
+  bool knows_leader =
+      m_hooks.m_holds_lease(now) || !m_hooks.m_get_other_leader().empty();
   SendAll(quota::HandleQuotaQuery(&m_holder, from, query,
-                                  FindTeam(query.team()), now));
+                                  FindTeam(query.team()), knows_leader, now));
   if (m_holder.m_is_request_urgent) RequestCredit(now);
 }
 
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -16,6 +16,9 @@
 constexpr base::milliseconds kMaxChargeWait{2'000};
 constexpr double kChargeWaitShare = 0.25;
 constexpr std::size_t kMaxAskedHosts = 3;
+/** Control hosts that declined, or were silent, are asked again after this
+ * long, since they elect a leader meanwhile. */
+constexpr base::milliseconds kAskAllAgainAfter{200};
 /** A control host that said that a query waits is asked again after this long,
  * since its answer may be lost, or the host itself. */
 constexpr base::milliseconds kAskAgainAfter{400};
@@ -134,8 +137,9 @@
       charge->m_last_asked = host;
       m_sender(host, MakeQuery(*scope, charge->m_number, end - now));
     }
-    WaitForCharge(*charge,
-                  host.empty() ? end : std::min(end, now + kAskNextAfter));
+    if (host.empty()) charge->m_asked.clear();
+    WaitForCharge(*charge, std::min(end, now + (host.empty() ? kAskAllAgainAfter
+                                                             : kAskNextAfter)));
     if (charge->m_is_pending) {
       WaitForCharge(*charge, std::min(end, now + kAskAgainAfter));
     }
--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -208,6 +208,7 @@
                                                 const std::string &from,
                                                 const gen::QuotaQuery &query,
                                                 const gen::Team *team,
+                                                bool knows_leader,
                                                 base::TimePoint now) {
   // A host that has just started may lack the table, so it can't tell whether
   // the team has a quota.
@@ -246,7 +247,7 @@
         from, query.number(), gen::QUOTA_EXHAUSTED,
         std::chrono::ceil<base::milliseconds>(state.m_exhausted_until - now))};
   }
-  if (holder->m_waiting_count >= kMaxWaitingQueries) {
+  if (!knows_leader || holder->m_waiting_count >= kMaxWaitingQueries) {
     return {MakeAnswer(from, query.number(), gen::QUOTA_UNKNOWN, {})};
   }
   state.m_waiting.push_back(WaitingQuery{
--- a/src/quota/credit_holder_func.h
+++ b/src/quota/credit_holder_func.h
@@ -86,12 +86,15 @@
 /**
  * Handles a query.
  * @param team declared team of the query; nullptr if this host's table lacks it
+ * @param knows_leader whether credit can be requested now. If not, a query that
+ *        needs it is declined, so that another host is asked
  * @return answers that are due; none while the query waits for the leader
  */
 std::vector<fleet::OutMessage> HandleQuotaQuery(CreditHolder *holder,
                                                 const std::string &from,
                                                 const gen::QuotaQuery &query,
                                                 const gen::Team *team,
+                                                bool knows_leader,
                                                 base::TimePoint now);
 
 /** Takes back credit of a request that didn't run. */
--- a/tests/quota_holder_test.cpp
+++ b/tests/quota_holder_test.cpp
@@ -49,7 +49,8 @@
     query.set_is_repeat(is_repeat);
     query.set_exhausted_wait_ms(
         static_cast<std::uint32_t>(m_exhausted_wait_ms));
-    return Collect(HandleQuotaQuery(&m_holder, "e1", query, &m_team, m_now));
+    return Collect(HandleQuotaQuery(&m_holder, "e1", query, &m_team,
+                                    m_knows_leader, m_now));
   }
 
   std::optional<gen::CreditRequest> Ask() {
@@ -106,6 +107,7 @@
   CreditHolder m_holder;
   int m_pending_count = 0;  ///< answers that tell of a waiting query
   int m_exhausted_wait_ms = 0;
+  bool m_knows_leader = true;
   base::TimePoint m_now{base::seconds(100)};
 };
 
@@ -149,6 +151,16 @@
   EXPECT_EQ(m_holder.m_waiting_count, 0U);
 }
 
+// Guards against entry hosts that wait at a control host which is cut off from
+// the leader.
+TEST_F(HolderTest, QueryIsDeclinedWithoutALeaderUnlessThereIsCredit) {
+  (void)Receive(GrantAll(AskAhead()));
+  m_knows_leader = false;
+  EXPECT_EQ(Query(1, 1'000).at(1).outcome(), gen::QUOTA_CHARGED);
+  EXPECT_EQ(Query(2, 1e9).at(2).outcome(), gen::QUOTA_UNKNOWN);
+  EXPECT_EQ(m_holder.m_waiting_count, 0U);
+}
+
 // Guards against a doubled grant that charges or answers twice.
 TEST_F(HolderTest, DoubledGrantCountsOnce) {
   gen::CreditRequest ahead = AskAhead();
@@ -294,8 +306,8 @@
   query.set_number(1);
   query.set_team("a");
   query.set_cost(1);
-  auto answers =
-      Collect(HandleQuotaQuery(&m_holder, "e1", query, nullptr, m_now));
+  auto answers = Collect(
+      HandleQuotaQuery(&m_holder, "e1", query, nullptr, m_knows_leader, m_now));
   EXPECT_EQ(answers.at(1).outcome(), gen::QUOTA_UNKNOWN);
   m_team.set_rate_per_second(0);
   EXPECT_EQ(Query(2, 1).at(2).outcome(), gen::QUOTA_CHARGED);
--- a/tests/quota_simulation.h
+++ b/tests/quota_simulation.h
@@ -221,6 +221,7 @@
   static constexpr milliseconds kTick{100};
   static constexpr milliseconds kAskNextAfter{150};
   static constexpr milliseconds kAskAgainAfter{400};
+  static constexpr milliseconds kAskAllAgainAfter{200};
   static constexpr std::size_t kMaxAskedHosts = 3;
   static inline const std::vector<RequestKind> kKinds = {
       {9'200, 56, milliseconds(1'250)},
@@ -504,6 +505,9 @@
       Send("e" + std::to_string(charge.m_entry), host,
            MakeQuery(charge, number));
       next = std::min(next, m_now + kAskNextAfter);
+    } else {
+      charge.m_asked.clear();
+      next = std::min(next, m_now + kAskAllAgainAfter);
     }
     step = charge.m_step;
     At(next, [this, number, step] { AskNext(number, step); });
