--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -25,9 +25,27 @@
 
 /** @return a template with the placeholders {{NAME}} replaced, and the lists of
  * failure domains removed. */
+/** Keeps sections "{{#NAME}}...{{/NAME}}" whose value is given and isn't
+ * "false", and drops the others. */
+void FillSections(std::string *text, const Values &values) {
+  for (std::size_t start = text->find("{{#"); start != std::string::npos;
+       start = text->find("{{#")) {
+    std::size_t end = text->find("}}", start);
+    std::string name = text->substr(start + 3, end - start - 3);
+    std::string closing = "{{/" + name + "}}";
+    std::size_t close = text->find(closing, end);
+    ASSERT_NE(close, std::string::npos) << name;
+    std::string body = text->substr(end + 2, close - end - 2);
+    auto value = values.find(name);
+    bool is_kept = value != values.end() && value->second != "false";
+    text->replace(start, close + closing.size() - start, is_kept ? body : "");
+  }
+}
+
 std::string FillTemplate(std::string text, const Values &values) {
   std::size_t domains = text.find("domains = ");
   text.erase(domains, text.find('\n', domains) - domains);
+  FillSections(&text, values);
   for (std::size_t start = text.find("{{"); start != std::string::npos;
        start = text.find("{{", start)) {
     std::size_t end = text.find("}}", start);
@@ -115,6 +133,32 @@
   }
 }
 
+// Deployments without teams give no bounds for them, so that the defaults hold;
+// those with teams are served by the bounds that they give.
+TEST(PlatformSettingsTest, BoundsOfTeamsAreOptional) {
+  Values values = MakeValues(kDeployments[5], 1);
+  gen::FleetEntrySettings entry;
+  ASSERT_TRUE(base::ParseSettings(
+      FillTemplate(ReadTemplate("entry.ini"), values), "entry.ini", &entry));
+  EXPECT_EQ(entry.bounds().strict_revocation(), "false");
+  values["bounds.strictRevoke"] = "true";
+  values["bounds.revokeMs"] = "4000";
+  values["bounds.quotaWindowS"] = "6";
+  values["bounds.quotaExcess"] = "0.25";
+  values["bounds.quotaSlack"] = "110000";
+  ASSERT_TRUE(base::ParseSettings(
+      FillTemplate(ReadTemplate("entry.ini"), values), "entry.ini", &entry));
+  EXPECT_EQ(entry.bounds().strict_revocation(), "true");
+  EXPECT_EQ(entry.bounds().revocation_ms(), 4'000);
+  gen::FleetControlSettings control;
+  ASSERT_TRUE(
+      base::ParseSettings(FillTemplate(ReadTemplate("control.ini"), values),
+                          "control.ini", &control));
+  EXPECT_EQ(control.bounds().quota_window_ms(), 6'000);
+  EXPECT_DOUBLE_EQ(control.bounds().quota_excess(), 0.25);
+  EXPECT_DOUBLE_EQ(control.bounds().quota_slack(), 110'000);
+}
+
 // A bound that can't be meant must stop the program with an error that says
 // where it stands, not be used or replaced without a word.
 TEST(PlatformSettingsTest, RefusesBoundsThatCannotBeMeant) {
