Choose runners by a model learned from their answers

The choice used one prefill speed for all runners and saw no pauses of the streams there. Load trackers now learn prefill speed, slowdown and event gap from LoadUpdate, and LoadAnswer carries them; the choice adds the delay that a prompt brings to requests whose pauses become critical.

--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "gateway/choose_func.h"
+#include "gateway/runner_model_func.h"
 
 namespace wasabiwind::gateway {
 
@@ -15,12 +16,6 @@
 constexpr double kSameRegionCostMs = 4.0;
 constexpr double kOtherRegionCostMs = 70.0;
 constexpr double kOtherRegionRoundTripMs = 26.0;
-/** Prefill speed of a runner. */
-constexpr double kPrefillTokensPerMs = 38.0;
-/** Time to the first event of an idle runner, without prefill and network. */
-constexpr double kBaseFirstEventMs = 25.0;
-/** Each request in flight slows every step of the other requests. */
-constexpr double kMsPerInFlightRequest = 10.0;
 /** Time of an answer of a service without an engine. */
 constexpr double kServiceAnswerMs = 20.0;
 /** Spreads prompts over replicas that otherwise cost the same. */
@@ -70,27 +65,26 @@
   return &item;
 }
 
-/**
- * @param queued_tokens prompt tokens of other requests, not prefilled yet
- * @param in_flight requests at the runner
- */
-double GetEngineProcessingMs(std::uint32_t prefill_tokens,
-                             std::uint64_t queued_tokens, double in_flight) {
-  return kBaseFirstEventMs + prefill_tokens / kPrefillTokensPerMs +
-         static_cast<double>(queued_tokens) / kPrefillTokensPerMs +
-         kMsPerInFlightRequest * in_flight;
+double ToMs(base::Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double GetProcessingMs(const ChoiceRequest &request,
-                       const gen::UpstreamReport &report,
-                       const UpstreamStats &stats,
-                       std::uint32_t prefill_tokens) {
-  if (!request.m_service->has_engine()) {
-    double slots = std::max(1u, report.slots());
-    return kServiceAnswerMs * (1 + stats.m_in_flight / slots);
-  }
-  return GetEngineProcessingMs(prefill_tokens, stats.m_prefill_tokens,
-                               stats.m_in_flight);
+/** Sets what depends on the speed and load of the candidate's engine. */
+void SetEngineCosts(const ChoiceRequest &request, const RunnerModel &model,
+                    const RunnerWork &work, base::TimePoint now,
+                    Candidate *candidate) {
+  RequestForecast forecast =
+      PredictRequest(model, work, candidate->m_prefill_tokens, now);
+  candidate->m_processing_ms = ToMs(forecast.m_first_event);
+  candidate->m_delay_to_others_ms =
+      ToMs(GetDelayToOthers(forecast, work, request.m_max_gap));
+}
+
+void SetServiceCosts(const gen::UpstreamReport &report,
+                     const UpstreamStats &stats, Candidate *candidate) {
+  double slots = std::max(1u, report.slots());
+  candidate->m_processing_ms =
+      kServiceAnswerMs * (1 + stats.m_in_flight / slots);
 }
 
 std::uint32_t CountPrefillTokens(const RequestMetadata &metadata,
@@ -114,8 +108,13 @@
       *request.m_metadata,
       CountCachedTokens(known.m_prefix_cache, *request.m_metadata,
                         request.m_prefix_keys));
-  candidate.m_processing_ms =
-      GetProcessingMs(request, report, known, candidate.m_prefill_tokens);
+  if (request.m_service->has_engine()) {
+    RunnerWork work{known.m_prefill_tokens,
+                    static_cast<double>(known.m_in_flight)};
+    SetEngineCosts(request, RunnerModel(), work, now, &candidate);
+  } else {
+    SetServiceCosts(report, known, &candidate);
+  }
   candidate.m_slowdown = known.m_slowdown;
   candidate.m_network_cost_ms = GetNetworkCostMs(location, report.domain());
   candidate.m_round_trip_ms = candidate.m_network_cost_ms >= kOtherRegionCostMs
@@ -156,7 +155,8 @@
 
 double GetCostMs(const Candidate &candidate) {
   return candidate.m_processing_ms * candidate.m_slowdown +
-         candidate.m_network_cost_ms + candidate.m_penalty_ms;
+         candidate.m_delay_to_others_ms + candidate.m_network_cost_ms +
+         candidate.m_penalty_ms;
 }
 
 Candidates ListCandidates(const fleet::FleetView &view, StatsById *stats,
@@ -213,15 +213,17 @@
 }
 
 void ApplyLoad(const ChoiceRequest &request, const gen::LoadAnswer &load,
-               Candidate *candidate) {
+               base::TimePoint now, Candidate *candidate) {
   std::uint32_t prefill_tokens =
       CountPrefillTokens(*request.m_metadata, load.kept_tokens());
   // This host may know of prompts that the runner cached before its load
   // tracker began to track it.
   candidate->m_prefill_tokens =
       std::min(candidate->m_prefill_tokens, prefill_tokens);
-  candidate->m_processing_ms = GetEngineProcessingMs(
-      candidate->m_prefill_tokens, load.unread_tokens(), load.in_flight());
+  RunnerModel model =
+      load.has_model() ? DecodeModel(load.model(), now) : RunnerModel();
+  RunnerWork work{load.unread_tokens(), static_cast<double>(load.in_flight())};
+  SetEngineCosts(request, model, work, now, candidate);
 }
 
 Choice PickCandidate(const Candidates &candidates) {
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -31,6 +31,8 @@
   std::vector<std::uint64_t> m_prefix_keys;  ///< from MakePrefixKeys
   std::set<std::string> m_excluded;          ///< upstreams where it has failed
   std::uint64_t m_request_hash = 0;  ///< affinity seed without prompt parts
+  /** Longest pause of a punctual stream; 0: no pause is too long. */
+  base::milliseconds m_max_gap{0};
 };
 
 /** Why no upstream can be chosen. If several apply, the last one counts. */
@@ -63,8 +65,11 @@
   std::string m_domain;
   std::uint64_t m_start_time_ms = 0;
   std::uint32_t m_prefill_tokens = 0;  ///< prompt tokens not cached there
-  double m_processing_ms = 0;    ///< until the first event, without the network
-  double m_slowdown = 1;         ///< factor on m_processing_ms
+  double m_processing_ms = 0;  ///< until the first event, without the network
+  double m_slowdown = 1;       ///< factor on m_processing_ms
+  /** Delay that its prompt brings to the requests at the upstream, summed up
+   * over these, as far as their pauses become critical. */
+  double m_delay_to_others_ms = 0;
   double m_network_cost_ms = 0;  ///< round trip and cost of the traffic
   double m_round_trip_ms = 0;    ///< without the cost of the traffic
   double m_penalty_ms = 0;       ///< failures, silence, cold start, affinity
@@ -87,10 +92,10 @@
 
 /**
  * Replaces this host's estimate of a runner's load by the answer of the
- * runner's load tracker.
+ * runner's load tracker, with the model of the runner that it has learned.
  */
 void ApplyLoad(const ChoiceRequest &request, const gen::LoadAnswer &load,
-               Candidate *candidate);
+               base::TimePoint now, Candidate *candidate);
 
 /** @return the candidate with the lowest cost, or the problem. */
 Choice PickCandidate(const Candidates &candidates);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -47,6 +47,7 @@
   std::optional<net::HttpResponse> m_head;  ///< once it was accepted
   /** A body byte of a stream arrived, or the head of another answer. */
   bool m_has_begun_answer = false;
+  base::TimePoint m_first_byte_at;  ///< of a stream
   EventSplitter m_splitter;
   int m_event_count = 0;  ///< whole events of a stream
   /** The caller got an event from it; without one a stream isn't complete. */
--- a/src/gateway/gateway_load.cpp
+++ b/src/gateway/gateway_load.cpp
@@ -47,6 +47,40 @@
   return count;
 }
 
+std::uint32_t ToUnsignedMs(base::Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, base::ToMilliseconds(duration)));
+}
+
+gen::LoadOutcome GetLoadOutcome(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return gen::LOAD_ANSWERED;
+    case AttemptEnd::kNotRun:
+      return gen::LOAD_REFUSED;
+    case AttemptEnd::kUnknown:
+    case AttemptEnd::kSilent:
+      return gen::LOAD_FAILED;
+    case AttemptEnd::kTimedOut:
+    case AttemptEnd::kCallerGone:
+      return gen::LOAD_ABANDONED;
+    case AttemptEnd::kEnd:
+      break;
+  }
+  return gen::LOAD_OUTCOME_UNKNOWN;
+}
+
+/** Adds what the tracker learns from about the attempt that ended. */
+void AddAttemptEnd(const RequestScope &scope, gen::LoadUpdate *update) {
+  const Attempt &attempt = scope.m_attempt;
+  update->set_outcome(GetLoadOutcome(scope.m_attempt_end));
+  if (!attempt.m_has_begun_answer || attempt.m_event_count == 0) return;
+  update->set_event_count(static_cast<std::uint32_t>(attempt.m_event_count));
+  update->set_stream_ms(
+      ToUnsignedMs(scope.m_last_byte_at - attempt.m_first_byte_at));
+  update->set_longest_gap_ms(ToUnsignedMs(scope.m_longest_gap));
+}
+
 }  // namespace
 
 /** Chooses an upstream by tracked load, or by this host's own estimate. */
@@ -87,7 +121,7 @@
     if (tracker == nullptr) continue;
     ++scope->m_loads_queried;
     if (tracker->name() == m_self.name()) {
-      ApplyLoad(request, MakeLoadAnswer(&m_runner_loads, *query, now),
+      ApplyLoad(request, MakeLoadAnswer(&m_runner_loads, *query, now), now,
                 &candidate);
       ++scope->m_loads_known;
       continue;
@@ -125,7 +159,7 @@
     PendingLoadQuery *pending = found->second;
     for (Candidate &candidate : pending->m_candidates->m_list) {
       if (candidate.m_upstream != answer.upstream()) continue;
-      ApplyLoad(*pending->m_request, answer, &candidate);
+      ApplyLoad(*pending->m_request, answer, now, &candidate);
       --pending->m_missing_answers;
       break;
     }
@@ -168,6 +202,12 @@
     update->set_patience_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(
         0, base::ToMilliseconds(GetRemaining(scope, now)))));
     AddPrompt(scope.m_metadata, scope.m_prefix_keys, update);
+  } else if (event == gen::LOAD_READ) {
+    // 0 stands for a time that wasn't measured.
+    update->set_first_event_ms(
+        std::max(1u, ToUnsignedMs(now - scope.m_attempt.m_sent_at)));
+  } else {
+    AddAttemptEnd(scope, update);
   }
   const gen::EntryHost *tracker = FindLoadTracker(
       m_follower.m_view, m_location, scope.m_upstream, report.domain());
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -145,6 +145,7 @@
   scope->m_last_byte_at = now;
   if (attempt.m_has_begun_answer) return;
   attempt.m_has_begun_answer = true;
+  attempt.m_first_byte_at = now;
   scope->m_silent_attempt.reset();
   ReportRunnerLoad(*scope, gen::LOAD_READ);
   if (scope->m_first_byte_at == base::TimePoint()) scope->m_first_byte_at = now;
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -234,6 +234,7 @@
   choice.m_prefix_keys = scope.m_prefix_keys;
   choice.m_excluded = scope.m_excluded;
   choice.m_request_hash = scope.m_request_hash;
+  choice.m_max_gap = base::milliseconds(scope.m_route->max_gap_ms());
   return choice;
 }
 
--- a/src/gateway/runner_load.cpp
+++ b/src/gateway/runner_load.cpp
@@ -44,6 +44,7 @@
   if (load->m_requests.size() >= kMaxTrackedRequests) return;
   TrackedRequest request;
   request.m_prefill_tokens = update.unread_tokens();
+  request.m_queued_tokens = load->m_prefill_tokens;
   request.m_ends_at = now + base::milliseconds(update.patience_ms());
   request.m_prefix_keys.assign(update.chain_keys().begin(),
                                update.chain_keys().end());
@@ -67,6 +68,41 @@
                      request.m_prefix_keys, capacity);
 }
 
+/** Learns the speed of the runner from a first event. */
+void LearnFromFirstEvent(RunnerLoad *load, const gen::LoadUpdate &update,
+                         base::TimePoint now) {
+  auto found = load->m_requests.find(update.request());
+  if (found == load->m_requests.end() || found->second.m_is_streaming) return;
+  found->second.m_is_streaming = true;
+  // Hosts that don't measure it leave the field empty.
+  if (update.first_event_ms() == 0) return;
+  LearnFirstEvent(&load->m_model, found->second.m_prefill_tokens,
+                  found->second.m_queued_tokens,
+                  base::milliseconds(update.first_event_ms()), now);
+}
+
+void LearnFromStreamEnd(RunnerLoad *load, const gen::LoadUpdate &update) {
+  if (update.outcome() != gen::LOAD_ANSWERED) return;
+  if (!load->m_requests.contains(update.request())) return;
+  LearnEventGap(&load->m_model, update.event_count(),
+                base::milliseconds(update.stream_ms()));
+}
+
+/** Adds what was learned, and the streams in progress. */
+void AddModel(const RunnerLoad &load, base::TimePoint now,
+              gen::LoadAnswer *answer) {
+  auto is_streaming = [](const auto &item) {
+    return item.second.m_is_streaming;
+  };
+  answer->set_streaming(static_cast<std::uint32_t>(std::count_if(
+      load.m_requests.begin(), load.m_requests.end(), is_streaming)));
+  bool is_anything_learned =
+      load.m_model.m_sample_count != 0 || load.m_model.m_stream_count != 0;
+  if (is_anything_learned) {
+    *answer->mutable_model() = EncodeModel(load.m_model, now);
+  }
+}
+
 /** @return the rendezvous hash of a runner and an entry host. */
 std::uint64_t GetTrackerRank(const std::string &upstream,
                              const std::string &entry) {
@@ -88,8 +124,10 @@
   if (update.event() == gen::LOAD_SENT) {
     BeginRequest(&load, update, now);
   } else if (update.event() == gen::LOAD_OVER) {
+    LearnFromStreamEnd(&load, update);
     EndRequest(&load, update.request());
   } else {
+    LearnFromFirstEvent(&load, update, now);
     MarkRequestPrefilled(&load, update.request(), capacity);
   }
 }
@@ -105,6 +143,7 @@
   ForgetExpiredRequests(&load, now);
   answer.set_in_flight(static_cast<std::uint32_t>(load.m_requests.size()));
   answer.set_unread_tokens(load.m_prefill_tokens);
+  AddModel(load, now, &answer);
   RequestMetadata metadata = MakePromptMetadata(query.part_tokens());
   std::vector<std::uint64_t> keys(query.chain_keys().begin(),
                                   query.chain_keys().end());
--- a/src/gateway/runner_load_func.h
+++ b/src/gateway/runner_load_func.h
@@ -19,6 +19,7 @@
 #include "base/time_type.h"
 #include "fleet/view_func.h"
 #include "gateway/choose_func.h"
+#include "gateway/runner_model_func.h"
 #include "gateway/upstream_stats_func.h"
 
 namespace wasabiwind::gateway {
@@ -26,6 +27,8 @@
 /** A request at a runner. */
 struct TrackedRequest {
   std::uint32_t m_prefill_tokens = 0;  ///< 0 after its first event
+  std::uint64_t m_queued_tokens = 0;   ///< of the requests before it
+  bool m_is_streaming = false;         ///< its first event has arrived
   base::TimePoint m_ends_at;           ///< its caller has given up by then
   std::vector<std::uint64_t> m_prefix_keys;  ///< of its prompt parts
   std::vector<std::uint32_t> m_part_tokens;  ///< of its prompt parts
@@ -37,6 +40,7 @@
   absl::flat_hash_map<std::string, TrackedRequest> m_requests;  ///< by ID
   std::uint64_t m_prefill_tokens = 0;  ///< sum over m_requests
   PrefixCacheEstimate m_prefix_cache;
+  RunnerModel m_model;
   base::TimePoint m_updated_at;
 };
 
--- a/tests/gateway_choose_test.cpp
+++ b/tests/gateway_choose_test.cpp
@@ -257,7 +257,8 @@
   query.set_upstream("i-1");
   for (Candidate &candidate : candidates.m_list) {
     if (candidate.m_upstream != "i-1") continue;
-    ApplyLoad(request, MakeLoadAnswer(&loads, query, At(10)), &candidate);
+    ApplyLoad(request, MakeLoadAnswer(&loads, query, At(10)), At(10),
+              &candidate);
   }
   EXPECT_EQ(PickCandidate(candidates).m_upstream, "i-2");
 }
