Hold long prompts while their runner's queue pauses streams

A runner that always has a full piece of a prompt to read lets an event of a stream take over 600 ms. Long prompts now wait at the entry host until the queue leaves room within max_gap_ms, and candidates that only look better by a host's own estimate are queried in a second round.

--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -78,6 +78,8 @@
   candidate->m_processing_ms = ToMs(forecast.m_first_event);
   candidate->m_delay_to_others_ms =
       ToMs(GetDelayToOthers(forecast, work, request.m_max_gap));
+  candidate->m_hold = GetHoldTime(forecast, work, candidate->m_prefill_tokens,
+                                  request.m_max_gap);
 }
 
 void SetServiceCosts(const gen::UpstreamReport &report,
@@ -239,6 +241,7 @@
     choice.m_upstream = candidate.m_upstream;
     choice.m_address = candidate.m_address;
     choice.m_prefill_tokens = candidate.m_prefill_tokens;
+    choice.m_hold = candidate.m_hold;
     choice.m_is_silent = candidate.m_is_silent;
     choice.m_expected_latency = base::milliseconds(static_cast<int>(
         candidate.m_processing_ms + candidate.m_round_trip_ms));
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -54,6 +54,7 @@
   ChoiceProblem m_problem = ChoiceProblem::kNone;
   base::milliseconds m_expected_latency{0};  ///< time to the first byte
   std::uint32_t m_prefill_tokens = 0;        ///< prompt tokens not cached there
+  base::Duration m_hold{0};  ///< wait before it is sent, see GetHoldTime
   bool m_is_silent = false;
   base::TimePoint m_pause_ends_at;  ///< with kPaused: the first of them
 };
@@ -70,10 +71,12 @@
   /** Delay that its prompt brings to the requests at the upstream, summed up
    * over these, as far as their pauses become critical. */
   double m_delay_to_others_ms = 0;
-  double m_network_cost_ms = 0;  ///< round trip and cost of the traffic
-  double m_round_trip_ms = 0;    ///< without the cost of the traffic
-  double m_penalty_ms = 0;       ///< failures, silence, cold start, affinity
-  bool m_is_silent = false;      ///< its heartbeats are missing
+  base::Duration m_hold{0};        ///< wait before it is sent, see GetHoldTime
+  double m_network_cost_ms = 0;    ///< round trip and cost of the traffic
+  double m_round_trip_ms = 0;      ///< without the cost of the traffic
+  double m_penalty_ms = 0;         ///< failures, silence, cold start, affinity
+  bool m_is_silent = false;        ///< its heartbeats are missing
+  bool m_is_load_queried = false;  ///< at its load tracker
 };
 
 struct Candidates {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -105,6 +105,7 @@
   bool EndIfDue(RequestScope *scope, base::TimePoint now);
   bool RunNextAttempt(RequestScope *scope, base::TimePoint now);
   bool HandleAttemptEnd(RequestScope *scope);
+  bool WaitForRunnerQueue(RequestScope *scope, const Choice &choice);
   bool WaitForChoice(RequestScope *scope, const Choice &choice);
   base::TimePoint GetWaitEnd(const RequestScope &scope) const;
   bool MayRetry(RequestScope *scope, const char *reason);
@@ -171,6 +172,10 @@
   Choice ChooseByRunnerLoad(RequestScope *scope, base::TimePoint now);
   void QueryRunnerLoads(RequestScope *scope, const ChoiceRequest &request,
                         Candidates *candidates, base::TimePoint now);
+  void QueryLoadsOf(RequestScope *scope, const ChoiceRequest &request,
+                    Candidates *candidates,
+                    const std::vector<Candidate *> &selected,
+                    base::TimePoint now);
   void ReportRunnerLoad(const RequestScope &scope, gen::LoadEvent event);
   void TrackRunnerLoad(const gen::LoadUpdate &update);
 
--- a/src/gateway/gateway_load.cpp
+++ b/src/gateway/gateway_load.cpp
@@ -4,6 +4,8 @@
 
 #include "base/metrics_func.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/runner_model_func.h"
+#include "net/fiber_scheduler.h"
 
 namespace wasabiwind::gateway {
 
@@ -12,10 +14,17 @@
 /** Candidates whose cost is higher by more than this aren't queried. */
 constexpr double kMaxQueriedCostGapMs = 300;
 constexpr std::size_t kMaxLoadQueries = 4;
+/** Candidates that weren't queried first may be the best after the answers of
+ * the others: a host's own estimate misses the requests of other hosts. */
+constexpr int kMaxLoadQueryRounds = 2;
 /** Longest wait for load trackers of this region, and of other regions. */
 constexpr base::milliseconds kSameRegionLoadWait{10};
 constexpr base::milliseconds kOtherRegionLoadWait{32};
 
+/** Bounds of the pause before the load of a runner is queried again. */
+constexpr base::milliseconds kMinQueueWait{20};
+constexpr base::milliseconds kMaxQueueWait{100};
+
 void CountLoadQueries(const char *outcome, int count) {
   base::GetCounter("ww_load_books_total",
                    "Books of runners that were asked, by outcome",
@@ -32,19 +41,44 @@
   }
 }
 
-/** Sorts candidates by cost. @return how many of the first ones to query */
-std::size_t SelectCandidatesToQuery(std::vector<Candidate> *list) {
-  std::sort(list->begin(), list->end(),
+/** @return whether the prompt is so long that the request may have to wait
+ * until its only candidate has prefilled others. */
+bool MayNeedHold(const ChoiceRequest &request, const Candidates &candidates) {
+  return !candidates.m_list.empty() &&
+         IsLongPrompt(candidates.m_list.front().m_prefill_tokens,
+                      request.m_max_gap);
+}
+
+/**
+ * Sorts candidates by cost.
+ * @return those whose load should be queried next: the best ones by this host's
+ *         own estimate, and after the first answers those that seem better than
+ *         the candidates whose load is known
+ */
+std::vector<Candidate *> SelectCandidatesToQuery(const ChoiceRequest &request,
+                                                 Candidates *candidates) {
+  std::vector<Candidate> &list = candidates->m_list;
+  std::sort(list.begin(), list.end(),
             [](const Candidate &a, const Candidate &b) {
               return GetCostMs(a) < GetCostMs(b);
             });
-  std::size_t count = 0;
-  while (count < std::min(kMaxLoadQueries, list->size()) &&
-         GetCostMs((*list)[count]) <=
-             GetCostMs(list->front()) + kMaxQueriedCostGapMs) {
-    ++count;
+  auto is_queried = [](const Candidate &item) {
+    return item.m_is_load_queried;
+  };
+  auto first_queried = std::find_if(list.begin(), list.end(), is_queried);
+  bool is_first_round = first_queried == list.end();
+  std::vector<Candidate *> selected;
+  for (auto item = list.begin(); item != first_queried; ++item) {
+    bool is_far =
+        is_first_round && selected.size() > 1 &&
+        GetCostMs(*item) > GetCostMs(list.front()) + kMaxQueriedCostGapMs;
+    if (selected.size() == kMaxLoadQueries || is_far) break;
+    selected.push_back(&*item);
   }
-  return count;
+  bool is_useful = !is_first_round || selected.size() > 1 ||
+                   MayNeedHold(request, *candidates);
+  if (!is_useful) selected.clear();
+  return selected;
 }
 
 std::uint32_t ToUnsignedMs(base::Duration duration) {
@@ -92,24 +126,65 @@
       scope->m_service->has_engine() && !scope->m_metadata.m_model.empty();
   scope->m_loads_queried = 0;
   scope->m_loads_known = 0;
-  if (is_load_tracked && m_send_datagram && candidates.m_list.size() > 1) {
+  bool is_query_useful =
+      candidates.m_list.size() > 1 || MayNeedHold(request, candidates);
+  if (is_load_tracked && m_send_datagram && is_query_useful) {
     QueryRunnerLoads(scope, request, &candidates, now);
   }
   return PickCandidate(candidates);
 }
 
+/**
+ * Waits for a while if the prompts queued at the chosen runner leave no room
+ * for that of the request.
+ * @return whether it has waited; the choice is outdated then
+ */
+bool Gateway::WaitForRunnerQueue(RequestScope *scope, const Choice &choice) {
+  base::TimePoint start = base::Clock::now();
+  bool may_wait = choice.m_hold > base::Duration(0) && !m_is_refusing &&
+                  start < GetWaitEnd(*scope);
+  if (!may_wait) return false;
+  base::Duration pause =
+      std::clamp<base::Duration>(choice.m_hold, kMinQueueWait, kMaxQueueWait);
+  // Requests that wait for the same runner shouldn't ask again all at once.
+  double jitter =
+      static_cast<double>((scope->m_request_hash ^ m_last_load_query) % 64) /
+      64;
+  net::SleepFor(
+      std::chrono::duration_cast<base::Duration>(pause * (1 + jitter)));
+  scope->m_wait_time += base::Clock::now() - start;
+  base::GetCounter("ww_runner_queue_waits_total",
+                   "Waits of requests until a runner has read other prompts",
+                   {})
+      .Increment();
+  return true;
+}
+
 /** Queries the load trackers of the best candidates and waits for answers. */
 void Gateway::QueryRunnerLoads(RequestScope *scope,
                                const ChoiceRequest &request,
                                Candidates *candidates, base::TimePoint now) {
-  std::size_t count = SelectCandidatesToQuery(&candidates->m_list);
-  if (count < 2) return;
+  for (int round = 0; round < kMaxLoadQueryRounds; ++round) {
+    std::vector<Candidate *> selected =
+        SelectCandidatesToQuery(request, candidates);
+    if (selected.empty()) return;
+    QueryLoadsOf(scope, request, candidates, selected,
+                 round == 0 ? now : base::Clock::now());
+  }
+}
+
+/** Queries the load trackers of some candidates and waits for answers. */
+void Gateway::QueryLoadsOf(RequestScope *scope, const ChoiceRequest &request,
+                           Candidates *candidates,
+                           const std::vector<Candidate *> &selected,
+                           base::TimePoint now) {
   PendingLoadQuery pending{&request, candidates, 0};
   std::uint64_t number = ++m_last_load_query;
   m_load_queries[number] = &pending;
   bool is_same_region = true;
-  for (std::size_t i = 0; i < count; ++i) {
-    Candidate &candidate = candidates->m_list[i];
+  for (Candidate *item : selected) {
+    Candidate &candidate = *item;
+    candidate.m_is_load_queried = true;
     gen::FleetMessage message;
     gen::LoadQuery *query = message.mutable_load_query();
     query->set_query(number);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -324,6 +324,7 @@
   }
   Choice choice = ChooseByRunnerLoad(scope, now);
   if (choice.m_problem == ChoiceProblem::kNone) {
+    if (WaitForRunnerQueue(scope, choice)) return false;
     RunAttempt(scope, choice);
     return true;
   }
--- a/src/gateway/runner_model.cpp
+++ b/src/gateway/runner_model.cpp
@@ -33,6 +33,9 @@
 /** Share of the longest permitted pause that queued prompts may take without a
  * cost. The rest is left for decoding and for prompts that arrive meanwhile. */
 constexpr double kFreeGapShare = 0.5;
+/** A prompt is long if its prefill takes this share of the longest permitted
+ * pause. Shorter ones change the pauses of others little. */
+constexpr double kLongPromptShare = 0.1;
 
 double ToMs(base::Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -112,6 +115,21 @@
   return FromMs(ToMs(excess) * work.m_in_flight);
 }
 
+bool IsLongPrompt(std::uint64_t prefill_tokens, base::milliseconds max_gap) {
+  double prefill_ms =
+      static_cast<double>(prefill_tokens) / kDefaultPrefillTokensPerMs;
+  return max_gap.count() != 0 && prefill_ms >= kLongPromptShare * ToMs(max_gap);
+}
+
+base::Duration GetHoldTime(const RequestForecast &forecast,
+                           const RunnerWork &work, std::uint64_t prefill_tokens,
+                           base::milliseconds max_gap) {
+  bool may_pass =
+      work.m_queued_tokens == 0 || !IsLongPrompt(prefill_tokens, max_gap);
+  if (may_pass) return base::Duration(0);
+  return std::max(base::Duration(0), forecast.m_longest_gap - max_gap);
+}
+
 gen::RunnerModel EncodeModel(const RunnerModel &model, base::TimePoint now) {
   gen::RunnerModel message;
   message.set_prefill_tokens_per_ms(model.m_prefill_tokens_per_ms);
--- a/src/gateway/runner_model_func.h
+++ b/src/gateway/runner_model_func.h
@@ -81,6 +81,22 @@
                                 const RunnerWork &work,
                                 base::milliseconds max_gap);
 
+/**
+ * @return whether a prompt of this length, at the default speed, delays other
+ *         streams noticeably
+ */
+bool IsLongPrompt(std::uint64_t prefill_tokens, base::milliseconds max_gap);
+
+/**
+ * @return how long a request should wait before it is sent: the prompts queued
+ *         at the runner, read together with its own, would pause the streams
+ *         there for longer than max_gap. 0 if nothing is queued, and for
+ *         prompts that aren't long.
+ */
+base::Duration GetHoldTime(const RequestForecast &forecast,
+                           const RunnerWork &work, std::uint64_t prefill_tokens,
+                           base::milliseconds max_gap);
+
 /** @return the model as sent to other hosts. */
 gen::RunnerModel EncodeModel(const RunnerModel &model, base::TimePoint now);
 
--- a/tests/gateway_runner_model_test.cpp
+++ b/tests/gateway_runner_model_test.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <deque>
 #include <limits>
+#include <map>
 #include <random>
 
 #include "gateway/runner_load_func.h"
@@ -88,6 +89,24 @@
   EXPECT_EQ(delay(busy, 0), 0);
 }
 
+// Guards against prompts that queue up until each step of the streams takes a
+// whole piece, against a request that waits although nothing is queued, and
+// against short prompts that wait without need.
+TEST(RunnerModelTest, LongPromptsWaitWhileTheQueuePausesStreams) {
+  RunnerModel model;
+  auto hold = [&model](std::uint64_t queued, std::uint64_t own) {
+    RunnerWork work{queued, 3};
+    return base::ToMilliseconds(GetHoldTime(
+        PredictRequest(model, work, own, At(0)), work, own, milliseconds(600)));
+  };
+  EXPECT_EQ(hold(0, 76'000), 0);
+  EXPECT_EQ(hold(11'400, 7'600), 0);    // 525 ms in all
+  EXPECT_EQ(hold(19'000, 7'600), 125);  // 725 ms
+  EXPECT_EQ(hold(38'000, 700), 0);
+  model.m_prefill_tokens_per_ms = 19;
+  EXPECT_EQ(hold(11'400, 7'600), 425);  // 1,025 ms
+}
+
 // Guards against figures of a faulty host that make a cost infinite or not a
 // number.
 TEST(RunnerModelTest, ReceivedFiguresOutOfRangeAreIgnored) {
@@ -142,16 +161,21 @@
 constexpr double kPieceTokens = 4'096;
 constexpr int kTokensPerEvent = 6;
 constexpr int kMaxGapMs = 600;
+/** Pause of a request that waits for a runner's queue, and limit of all. */
+constexpr double kWaitMs = 60;
+constexpr double kMaxWaitMs = 2'500;
 
 struct Stream {
   std::string m_id;
   double m_unread = 0;
   int m_tokens_left = 0;
-  double m_sent_ms = 0;
+  double m_arrived_ms = 0;
+  double m_sent_ms = 0;  ///< after a wait for the runner's queue
   double m_objective_ms = 0;
   double m_last_event_ms = -1;  ///< -1 before the first event
   double m_first_event_ms = 0;
   int m_events = 0;
+  std::size_t m_host = 0;  ///< entry host that it reaches
   bool m_is_late = false;
 };
 
@@ -193,30 +217,35 @@
   double Run(std::uint32_t seed) {
     std::mt19937 random(seed);
     std::exponential_distribution<double> pause(kArrivalsPerSecond / 1'000);
-    double now_ms = 0;
     int total = 0;
     for (double next_ms = pause(random); next_ms < 60'000;
          next_ms += pause(random), ++total) {
-      StepUntil(next_ms);
-      now_ms = next_ms;
       // Two fifths bring long prompts, a third of which is cached.
       bool is_long = random() % 5 < 2;
       Stream stream;
       stream.m_id = std::to_string(total);
       stream.m_unread = is_long ? 6'000 : 700;
       stream.m_tokens_left = (is_long ? 9 : 49) * kTokensPerEvent;
-      stream.m_sent_ms = now_ms;
+      stream.m_arrived_ms = next_ms;
       stream.m_objective_ms = is_long ? 1'500 : 800;
-      Send(std::move(stream), &m_hosts[random() % m_hosts.size()]);
+      stream.m_host = random() % m_hosts.size();
+      m_arrivals.emplace(next_ms, std::move(stream));
     }
-    StepUntil(now_ms + 60'000);
+    while (!m_arrivals.empty()) {
+      auto next = m_arrivals.extract(m_arrivals.begin());
+      StepUntil(next.key());
+      Send(std::move(next.mapped()), next.key());
+    }
+    StepUntil(std::numeric_limits<double>::infinity());
     return static_cast<double>(m_late) / total;
   }
 
  private:
   static constexpr double kArrivalsPerSecond = 33;
 
-  void Send(Stream stream, StatsById *host) {
+  /** Sends a request, or has it wait for a while. */
+  void Send(Stream stream, double now_ms) {
+    stream.m_sent_ms = now_ms;
     RequestMetadata metadata;
     metadata.m_id = stream.m_id;
     metadata.m_model = "m";
@@ -228,8 +257,8 @@
     if (m_uses_model) request.m_max_gap = milliseconds(kMaxGapMs);
     base::TimePoint now = At(stream.m_sent_ms);
     m_view.m_publishers[kPublisher].m_heard_at = now;
-    Candidates candidates =
-        ListCandidates(m_view, host, m_location, request, now);
+    Candidates candidates = ListCandidates(m_view, &m_hosts[stream.m_host],
+                                           m_location, request, now);
     for (Candidate &candidate : candidates.m_list) {
       gen::LoadQuery query;
       query.set_upstream(candidate.m_upstream);
@@ -238,6 +267,12 @@
       ApplyLoad(request, answer, now, &candidate);
     }
     Choice choice = PickCandidate(candidates);
+    bool must_wait = choice.m_hold > base::Duration(0) &&
+                     now_ms < stream.m_arrived_ms + kMaxWaitMs;
+    if (must_wait) {
+      m_arrivals.emplace(now_ms + kWaitMs, std::move(stream));
+      return;
+    }
     for (Engine &engine : m_engines) {
       if (engine.m_id != choice.m_upstream) continue;
       Report(engine, stream, gen::LOAD_SENT, stream.m_sent_ms);
@@ -289,7 +324,8 @@
     ++stream->m_events;
     if (stream->m_last_event_ms < 0) {
       stream->m_first_event_ms = now_ms;
-      stream->m_is_late = now_ms - stream->m_sent_ms > stream->m_objective_ms;
+      stream->m_is_late =
+          now_ms - stream->m_arrived_ms > stream->m_objective_ms;
       Report(engine, *stream, gen::LOAD_READ, now_ms);
     } else if (now_ms - stream->m_last_event_ms > kMaxGapMs) {
       stream->m_is_late = true;
@@ -340,6 +376,7 @@
   std::vector<StatsById> m_hosts = std::vector<StatsById>(20);
   RunnerLoads m_loads;
   std::vector<Engine> m_engines;
+  std::multimap<double, Stream> m_arrivals;  ///< by time
   int m_late = 0;
 };
 
