--- a/tests/gateway_runner_model_test.cpp
+++ b/tests/gateway_runner_model_test.cpp
@@ -218,8 +218,8 @@
     std::mt19937 random(seed);
     std::exponential_distribution<double> pause(kArrivalsPerSecond / 1'000);
     int total = 0;
-    for (double next_ms = pause(random); next_ms < 60'000;
-         next_ms += pause(random), ++total) {
+    double next_ms = pause(random);
+    while (next_ms < 60'000) {
       // Two fifths bring long prompts, a third of which is cached.
       bool is_long = random() % 5 < 2;
       Stream stream;
@@ -230,6 +230,8 @@
       stream.m_objective_ms = is_long ? 1'500 : 800;
       stream.m_host = random() % m_hosts.size();
       m_arrivals.emplace(next_ms, std::move(stream));
+      next_ms += pause(random);
+      ++total;
     }
     while (!m_arrivals.empty()) {
       auto next = m_arrivals.extract(m_arrivals.begin());
