--- a/tests/gateway_runner_model_test.cpp
+++ b/tests/gateway_runner_model_test.cpp
@@ -280,6 +280,7 @@
       Report(engine, stream, gen::LOAD_SENT, stream.m_sent_ms);
       engine.m_streams.push_back(std::move(stream));
       if (engine.m_step_ends_ms < 0) BeginStep(&engine, At(0), now);
+      return;
     }
   }
 
