Add process tests for callers that keep to no limit

Nothing bounds trailers, chunk extensions and size digits, and bodies and headers that are allowed one by one add up. The tests start an entry host, let a crowd of 16 (16 MiB each), 40 bodies of 4 MiB, 180 headers of 60 KiB or 400 silent connections (at 256 descriptors) act, and check life, a peak of 120 MB and one ordinary answer.

--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -3,3 +3,20 @@
 ww_add_test(net_signal_test ww_net_lib)
 ww_add_test(net_message_test ww_net_lib ww_scenario_lib)
 ww_add_test(net_datagram_test ww_net_lib)
+# Each test measures memory and uses up descriptors of a process, so that each
+# runs alone.
+add_executable(caller_limits_process_test caller_limits_process_test.cpp)
+target_link_libraries(caller_limits_process_test PRIVATE ww_platform_lib
+  ww_scenario_lib GTest::gmock GTest::gtest_main)
+add_dependencies(caller_limits_process_test ww_platform_entry)
+target_compile_definitions(caller_limits_process_test PRIVATE
+  WW_PLATFORM_ENTRY="$<TARGET_FILE:ww_platform_entry>")
+foreach(case TrailersWithoutEnd TrailersWithoutEndForTheDirectory
+    ChunkExtensionWithoutEnd ChunkSizeWithoutEnd SmallChunksWithExtensions
+    BlankLinesBeforeARequest PipelinedRequestsWithUnreadAnswers BodiesThatStall
+    HeadersOfManyFields SilentConnections LongestAllowedRequestIsAnswered)
+  add_test(NAME caller_limits_${case} COMMAND caller_limits_process_test
+    --gtest_filter=CallerLimitsTest.${case})
+  set_tests_properties(caller_limits_${case} PROPERTIES RUN_SERIAL TRUE
+    TIMEOUT 300 LABELS caller_limits)
+endforeach()
