Bound what callers can make a host hold

Nothing bounded trailers, size lines and extensions of chunks, and requests of many callers added up. Reading moves to net/http_reader.cpp, which bounds trailers and size lines (16 KiB; 64 KiB on entry hosts) and the framing of chunked bodies. When connections or descriptors run out, a silent, idle or reading connection ends for a new one; the directory ports get bounds of their own. Each reason is counted.

--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -29,6 +29,11 @@
 
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
 constexpr std::size_t kMaxCallerConnections = 3'000;
+/** Of each port for addresses and readiness, whose requests are short. */
+constexpr std::size_t kMaxDirectoryConnections = 200;
+constexpr double kDirectoryDescriptorShare = 0.05;
+constexpr std::size_t kMaxDirectoryBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxDirectoryHeldBytes = 4 << 20;
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
 /** Idle connections are closed at this multiple of the time after which callers
@@ -50,7 +55,8 @@
 
  private:
   base::Result<std::unique_ptr<net::HttpServer>> Listen(
-      const std::string &address, net::HttpHandler handler) const;
+      const std::string &address, net::HttpServerOptions options,
+      net::HttpHandler handler) const;
   base::Result<void> AddDirectory(const std::string &address);
   void Send(const std::string &to, const gen::FleetMessage &message);
   gen::Envelope MakeEnvelope(const gen::FleetMessage &message) const;
@@ -80,14 +86,13 @@
           }) {}
 
 base::Result<std::unique_ptr<net::HttpServer>> EntryProgram::Listen(
-    const std::string &address, net::HttpHandler handler) const {
+    const std::string &address, net::HttpServerOptions options,
+    net::HttpHandler handler) const {
   base::Result<net::Endpoint> endpoint = net::ParseEndpoint(address);
   if (!endpoint) return tl::unexpected(endpoint.error());
-  net::HttpServerOptions options;
   options.m_listen = *endpoint;
   options.m_max_header_bytes = kMaxHeaderBytes;
-  options.m_max_body_bytes = kMaxBodyBytes;
-  options.m_max_connections = kMaxCallerConnections;
+  options.m_max_trailer_bytes = kMaxHeaderBytes;
   options.m_treat_half_closed_as_gone = true;
   auto server = std::make_unique<net::HttpServer>(options, std::move(handler));
   if (base::Result<void> done = server->Listen(); !done) {
@@ -98,10 +103,16 @@
 
 base::Result<void> EntryProgram::AddDirectory(const std::string &address) {
   if (address.empty()) return {};
-  auto server = Listen(address, [this](const net::HttpRequest &request,
-                                       net::HttpExchange &exchange) {
-    m_gateway.HandleDirectory(request, exchange);
-  });
+  net::HttpServerOptions options;
+  options.m_max_body_bytes = kMaxDirectoryBodyBytes;
+  options.m_max_held_bytes = kMaxDirectoryHeldBytes;
+  options.m_max_connections = kMaxDirectoryConnections;
+  options.m_descriptor_share = kDirectoryDescriptorShare;
+  auto server = Listen(
+      address, options,
+      [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
+        m_gateway.HandleDirectory(request, exchange);
+      });
   if (!server) return tl::unexpected(server.error());
   m_directories.push_back(std::move(*server));
   return {};
@@ -130,8 +141,13 @@
                                      const gen::FleetMessage &message) {
     SendDatagram(to, message);
   };
+  net::HttpServerOptions options;
+  options.m_max_body_bytes = kMaxBodyBytes;
+  options.m_max_held_bytes =
+      static_cast<std::size_t>(m_settings.callers().request_memory_bytes());
+  options.m_max_connections = kMaxCallerConnections;
   auto callers = Listen(
-      m_settings.callers().listen(),
+      m_settings.callers().listen(), options,
       [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
         m_gateway.HandleCaller(request, exchange);
       });
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,26 +4,29 @@
 
 #include <fmt/format.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
+#include <map>
 #include <mutex>
 #include <optional>
-#include <unordered_set>
 #include <vector>
 
 #include "base/log_func.h"
+#include "base/metrics_func.h"
 #include "net/deadline_socket.h"
 #include "net/fiber_scheduler.h"
+#include "net/http_reader_internal.h"
+#include "net/memory_budget_func.h"
 
 namespace wasabiwind::net {
 
@@ -43,59 +46,42 @@
 constexpr base::milliseconds kAcceptRetryDelay{50};
 /** How long a stopping server waits for the first request of a connection. */
 constexpr base::milliseconds kFirstRequestGrace{100};
-
-base::Error MakeIoError(const beast::error_code &error, const char *action) {
-  bool is_timeout = error == beast::error::timeout;
-  return base::Error{
-      is_timeout ? base::ErrorKind::kTimeout : base::ErrorKind::kIo,
-      fmt::format("{}: {}", action, error.message()), ""};
+/** Connections keep larger buffers only while they receive. */
+constexpr std::size_t kMaxKeptBufferBytes = 32 * 1024;
+constexpr const char *kMemoryFullReason = "memory_full";
+constexpr const char *kConnectionsFullReason = "connections_full";
+
+void CountReadRefusal(const char *reason) {
+  base::GetCounter("ww_http_refusals_total",
+                   "Requests that couldn't be read, by reason",
+                   {{"reason", reason}})
+      .Increment();
 }
 
-/** @return the status of the response, or 0 to close without a response. */
-int GetStatusForReadError(const beast::error_code &error) {
-  if (error == http::error::end_of_stream) return 0;
-  if (error == http::error::header_limit) return 431;
-  if (error == http::error::buffer_overflow) return 431;
-  if (error == http::error::body_limit) return 413;
-  if (error == beast::error::timeout) return 408;
-  if (error.category() ==
-      http::make_error_code(http::error::bad_method).category()) {
-    return error == http::error::partial_message ? 0 : 400;
-  }
-  return 0;
+void CountEndedConnection(const char *kind) {
+  base::GetCounter("ww_http_connections_ended_total",
+                   "Connections that ended because there were too many",
+                   {{"kind", kind}})
+      .Increment();
 }
 
-std::string MakeReadErrorBody(int status, const std::string &detail) {
-  const char *remedy = status == 413   ? "send a smaller body"
-                       : status == 431 ? "send fewer or shorter headers"
-                       : status == 408 ? "send the request faster"
-                                       : "send a valid HTTP/1.1 request";
-  return fmt::format(
-      R"({{"error":{{"type":"refusal","reason":"bad_request","message":"{}; {}","ran":"not_run"}}}})",
-      detail, remedy);
+/** @return the number of connections for which there are descriptors. */
+std::size_t LimitByDescriptors(std::size_t connections, double share) {
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) return connections;
+  auto limit = static_cast<double>(descriptors.rlim_cur) * share;
+  if (limit >= static_cast<double>(connections)) return connections;
+  return std::max<std::size_t>(1, static_cast<std::size_t>(limit));
 }
 
-HttpRequest ConvertRequest(http::request<http::string_body> &&message) {
-  HttpRequest request;
-  request.m_method = std::string(message.method_string());
-  request.m_target = std::string(message.target());
-  for (const auto &field : message) {
-    request.m_headers.Add(std::string(field.name_string()),
-                          std::string(field.value()));
-  }
-  request.m_body = std::move(message.body());
-  return request;
+base::Error MakeIoError(const beast::error_code &error, const char *action) {
+  bool is_timeout = error == beast::error::timeout;
+  return base::Error{
+      is_timeout ? base::ErrorKind::kTimeout : base::ErrorKind::kIo,
+      fmt::format("{}: {}", action, error.message()), ""};
 }
 
-/** One accepted connection. */
-struct Connection {
-  explicit Connection(tcp::socket socket) : m_socket(std::move(socket)) {}
-
-  DeadlineSocket m_socket;
-  beast::flat_buffer m_buffer;
-  bool m_idle = true;    ///< waiting for the first byte of a request
-  bool m_is_new = true;  ///< no byte of its first request has arrived
-};
+using Connection = HttpConnection;
 
 class ServerExchange : public HttpExchange {
  public:
@@ -225,21 +211,68 @@
 struct ServeThread {
   asio::io_context *m_io_context = nullptr;
   std::unique_ptr<tcp::acceptor> m_acceptor;
-  std::unordered_set<Connection *> m_connections;
+  std::map<std::uint64_t, Connection *> m_connections;  ///< oldest first
+  MemoryBudget m_budget;
   boost::fibers::mutex m_mutex;
   boost::fibers::condition_variable m_all_closed;
 
   bool HasNewConnection() const {
-    return std::any_of(
-        m_connections.begin(), m_connections.end(),
-        [](const Connection *connection) { return connection->m_is_new; });
+    return std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto &item) { return item.second->m_is_new; });
   }
 
   void CloseIdle(bool also_new) {
-    for (Connection *connection : m_connections) {
+    for (const auto &[id, connection] : m_connections) {
       bool may_close = also_new || !connection->m_is_new;
-      if (connection->m_idle && may_close) connection->m_socket.Cancel();
+      if (connection->m_state == ConnectionState::kIdle && may_close) {
+        connection->m_socket.Cancel();
+      }
+    }
+  }
+
+  /** Ends a connection whose request isn't served. */
+  void End(Connection *connection, const char *reason) {
+    connection->m_end_reason = reason;
+    ReleaseMemory(&m_budget, connection->m_id);
+    connection->m_socket.Cancel();
+  }
+
+  /** Sets what a connection holds, and ends connections until all together
+   * keep the bound. */
+  void SetHeld(const Connection &connection, std::size_t bytes) {
+    if (connection.m_end_reason != nullptr) return;
+    SetHeldBytes(&m_budget, connection.m_id, bytes);
+    while (std::optional<std::uint64_t> chosen = ChooseToEnd(m_budget)) {
+      End(m_connections.at(*chosen), kMemoryFullReason);
+    }
+  }
+
+  /**
+   * Ends the connection that can best be spared: the oldest that has never
+   * sent anything, else the oldest that is idle, else the oldest of which a
+   * request is being read.
+   * @return false if the requests of all connections are served
+   */
+  bool EndOne() {
+    Connection *chosen = nullptr;
+    int chosen_rank = 3;
+    for (const auto &[id, connection] : m_connections) {
+      bool is_idle = connection->m_state == ConnectionState::kIdle;
+      bool is_reading = connection->m_state == ConnectionState::kReading;
+      if (connection->m_end_reason != nullptr) continue;
+      if (!is_idle && !is_reading) continue;
+      int rank = is_reading ? 2 : connection->m_is_new ? 0 : 1;
+      if (rank >= chosen_rank) continue;
+      chosen = connection;
+      chosen_rank = rank;
+      if (rank == 0) break;
     }
+    if (chosen == nullptr) return false;
+    constexpr std::array<const char *, 3> kKinds = {"silent", "idle",
+                                                    "reading"};
+    CountEndedConnection(kKinds[static_cast<std::size_t>(chosen_rank)]);
+    End(chosen, kConnectionsFullReason);
+    return true;
   }
 };
 
@@ -247,43 +280,11 @@
 
 namespace {
 
-using RequestParser = http::request_parser<http::string_body>;
-
-/** Small, because each idle connection keeps a buffer of this size. */
-constexpr std::size_t kHeadChunkBytes = 4 * 1024;
-constexpr std::size_t kBodyChunkBytes = 64 * 1024;
-
-/** Receives bytes. @return the error, if any; after the caller has closed its
- * sending side: end_of_stream before a request, partial_message inside one */
-beast::error_code ReceiveMore(Connection *connection, RequestParser *parser,
-                              base::TimePoint deadline) {
-  std::size_t size =
-      parser->is_header_done() ? kBodyChunkBytes : kHeadChunkBytes;
-  IoResult result = connection->m_socket.ReadSome(
-      connection->m_buffer.prepare(size), deadline);
-  connection->m_buffer.commit(result.m_size);
-  if (result.m_error != asio::error::eof) return result.m_error;
-  return parser->got_some() ? http::error::partial_message
-                            : http::error::end_of_stream;
-}
-
-/** Parses and receives until a part of the request is complete. */
-template <typename IsComplete>
-beast::error_code ReadPart(Connection *connection, RequestParser *parser,
-                           base::TimePoint deadline, IsComplete is_complete) {
-  while (!is_complete()) {
-    if (connection->m_buffer.size() > 0) {
-      beast::error_code error;
-      std::size_t used = parser->put(connection->m_buffer.data(), error);
-      connection->m_buffer.consume(used);
-      if (error && error != http::error::need_more) return error;
-      if (!error) continue;
-    }
-    beast::error_code error = ReceiveMore(connection, parser, deadline);
-    if (error) return error;
-  }
-  return {};
-}
+/** What the server needs of a request beside what its handler gets. */
+struct RequestTraits {
+  bool m_keep_alive = false;
+  bool m_is_head = false;
+};
 
 }  // namespace
 
@@ -297,6 +298,7 @@
   std::atomic<bool> m_draining = false;
   std::atomic<bool> m_stopped = false;
   std::atomic<std::size_t> m_connections = 0;
+  std::atomic<std::uint64_t> m_last_connection_id = 0;
   std::atomic<std::size_t> m_active = 0;
   std::mutex m_threads_mutex;
   /** Guarded by m_threads_mutex. */
@@ -310,9 +312,10 @@
   void AcceptQueued(ServeThread *thread);
   void ServeConnection(ServeThread *thread, Connection *connection);
   beast::error_code AwaitRequest(Connection *connection, RequestParser *parser);
-  bool ReadRequest(Connection *connection,
-                   http::request_parser<http::string_body> *parser);
-  void RefuseUnreadable(Connection *connection, const beast::error_code &error);
+  std::optional<HttpRequest> TakeRequest(ServeThread *thread,
+                                         Connection *connection,
+                                         RequestTraits *traits);
+  void RefuseUnreadable(Connection *connection, const ReadFault &fault);
 };
 
 base::Result<std::unique_ptr<tcp::acceptor>> HttpServer::Impl::OpenAcceptor(
@@ -350,6 +353,9 @@
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_options = std::move(options);
+  m_impl->m_options.m_max_connections =
+      LimitByDescriptors(m_impl->m_options.m_max_connections,
+                         m_impl->m_options.m_descriptor_share);
   m_impl->m_idle_timeout = m_impl->m_options.m_idle_timeout;
   m_impl->m_handler = std::move(handler);
 }
@@ -398,6 +404,7 @@
   auto shared_thread = std::make_shared<ServeThread>();
   ServeThread &thread = *shared_thread;
   thread.m_io_context = &CurrentIoContext();
+  thread.m_budget.m_limit = m_impl->m_options.m_max_held_bytes;
   auto acceptor = m_impl->TakeAcceptor(thread.m_io_context);
   if (!acceptor) {
     base::LogEvent(base::LogLevel::kError, "listen_failed",
@@ -417,6 +424,8 @@
     if (!accepted.m_error) {
       m_impl->StartConnection(&thread, std::move(socket));
     } else if (!m_impl->m_stopped) {
+      bool is_full = accepted.m_error == asio::error::no_descriptors;
+      if (is_full) thread.EndOne();
       SleepFor(kAcceptRetryDelay);
     }
   }
@@ -434,15 +443,20 @@
 /** Serves a connection in a fiber of its own. */
 void HttpServer::Impl::StartConnection(ServeThread *thread,
                                        tcp::socket socket) {
-  if (m_connections >= m_options.m_max_connections) return;
+  if (m_connections >= m_options.m_max_connections && !thread->EndOne()) {
+    CountEndedConnection("new");
+    return;
+  }
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   ++m_connections;
   auto *connection = new Connection(std::move(socket));
-  thread->m_connections.insert(connection);
+  connection->m_id = ++m_last_connection_id;
+  thread->m_connections.emplace(connection->m_id, connection);
   boost::fibers::fiber([this, thread, connection] {
     ServeConnection(thread, connection);
-    thread->m_connections.erase(connection);
+    ReleaseMemory(&thread->m_budget, connection->m_id);
+    thread->m_connections.erase(connection->m_id);
     delete connection;
     --m_connections;
     if (thread->m_connections.empty()) thread->m_all_closed.notify_all();
@@ -470,7 +484,7 @@
   while (true) {
     base::milliseconds timeout =
         m_stopped ? kFirstRequestGrace : m_idle_timeout.load();
-    beast::error_code error = ReceiveMore(connection, parser, start + timeout);
+    beast::error_code error = ReceiveFirst(connection, parser, start + timeout);
     bool is_extended = error == beast::error::timeout && !m_stopped &&
                        base::Clock::now() < start + m_idle_timeout.load();
     if (!is_extended) return error;
@@ -478,56 +492,59 @@
 }
 
 /**
- * Reads one request.
- * @return false if the connection must close
+ * Reads one request and refuses it if that fails.
+ * @return nullopt if the connection must close
  */
-bool HttpServer::Impl::ReadRequest(
-    Connection *connection, http::request_parser<http::string_body> *parser) {
-  parser->header_limit(
-      static_cast<std::uint32_t>(m_options.m_max_header_bytes));
-  parser->body_limit(m_options.m_max_body_bytes);
+std::optional<HttpRequest> HttpServer::Impl::TakeRequest(
+    ServeThread *thread, Connection *connection, RequestTraits *traits) {
+  std::optional<RequestParser> parser(std::in_place);
   if (connection->m_buffer.size() == 0) {
-    connection->m_idle = true;
-    if (m_stopped && !connection->m_is_new) return false;
-    beast::error_code error = AwaitRequest(connection, parser);
-    connection->m_idle = false;
+    connection->m_state = ConnectionState::kIdle;
+    if (m_stopped && !connection->m_is_new) return std::nullopt;
+    beast::error_code error = AwaitRequest(connection, &*parser);
+    connection->m_state = ConnectionState::kClosing;
     connection->m_is_new = false;
-    if (error) return false;
+    if (error) return std::nullopt;
   }
-  beast::error_code error = ReadPart(
-      connection, parser, base::Clock::now() + m_options.m_header_timeout,
-      [parser] { return parser->is_header_done(); });
-  if (error) {
-    RefuseUnreadable(connection, error);
-    return false;
+  connection->m_state = ConnectionState::kReading;
+  std::optional<ReadFault> fault = ReadRequest(
+      connection, m_options, &*parser,
+      [&](std::size_t bytes) { thread->SetHeld(*connection, bytes); });
+  std::optional<HttpRequest> request;
+  if (!fault) {
+    traits->m_keep_alive = parser->get().keep_alive();
+    traits->m_is_head = parser->get().method() == http::verb::head;
+    request = ConvertRequest(&*parser);
   }
-  if (parser->get()[http::field::expect] == "100-continue") {
-    constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-    IoResult sent = connection->m_socket.WriteAll(
-        {asio::buffer(kContinue)},
-        base::Clock::now() + m_options.m_write_timeout);
-    if (sent.m_error) return false;
+  parser.reset();
+  if (connection->m_buffer.capacity() > kMaxKeptBufferBytes) {
+    connection->m_buffer.shrink_to_fit();
   }
-  if (parser->is_done()) return true;
-  parser->eager(true);
-  error = ReadPart(connection, parser,
-                   base::Clock::now() + m_options.m_body_timeout,
-                   [parser] { return parser->is_done(); });
-  if (error) {
-    RefuseUnreadable(connection, error);
-    return false;
+  if (request && !BeginServing(&thread->m_budget, connection->m_id,
+                               CountHeldBytes(*connection, *request))) {
+    fault = ReadFault{503, kMemoryFullReason, "long requests are being served"};
   }
-  return true;
+  if (!fault) {
+    connection->m_state = ConnectionState::kServed;
+    return request;
+  }
+  connection->m_state = ConnectionState::kClosing;
+  request.reset();
+  connection->m_buffer.clear();
+  connection->m_buffer.shrink_to_fit();
+  ReleaseMemory(&thread->m_budget, connection->m_id);
+  RefuseUnreadable(connection, *fault);
+  return std::nullopt;
 }
 
 void HttpServer::Impl::RefuseUnreadable(Connection *connection,
-                                        const beast::error_code &error) {
-  int status = GetStatusForReadError(error);
-  if (status == 0 || !connection->m_socket.Socket().is_open()) return;
+                                        const ReadFault &fault) {
+  if (fault.m_status == 0) return;
+  CountReadRefusal(fault.m_reason);
+  if (!connection->m_socket.Socket().is_open()) return;
   ServerExchange exchange(connection, m_options, /*keep_alive=*/false,
                           /*is_head_request=*/false, &m_draining);
-  (void)exchange.Respond(
-      MakeJsonResponse(status, MakeReadErrorBody(status, error.message())));
+  (void)exchange.Respond(MakeReadRefusal(fault));
   // Reads and discards what the caller still sends, for a limited time: closing
   // with unread input resets the connection, and the caller may lose the
   // response.
@@ -543,24 +560,24 @@
   }
 }
 
-void HttpServer::Impl::ServeConnection(ServeThread *, Connection *connection) {
+void HttpServer::Impl::ServeConnection(ServeThread *thread,
+                                       Connection *connection) {
   while (true) {
-    http::request_parser<http::string_body> parser;
-    if (!ReadRequest(connection, &parser)) return;
-    bool keep_alive = parser.get().keep_alive();
-    bool is_head_request = parser.get().method() == http::verb::head;
-    ServerExchange exchange(connection, m_options, keep_alive, is_head_request,
-                            &m_draining);
+    RequestTraits traits;
+    std::optional<HttpRequest> request =
+        TakeRequest(thread, connection, &traits);
+    if (!request) return;
+    ServerExchange exchange(connection, m_options, traits.m_keep_alive,
+                            traits.m_is_head, &m_draining);
     ++m_active;
-    m_handler(ConvertRequest(parser.release()), exchange);
+    m_handler(*request, exchange);
     if (!exchange.IsFinished()) exchange.Abort();
     --m_active;
+    request.reset();
+    ReleaseMemory(&thread->m_budget, connection->m_id);
     if (!exchange.CanContinue()) break;
-    // Frees the memory of a large body.
-    if (connection->m_buffer.capacity() > kBodyChunkBytes / 2) {
-      connection->m_buffer.shrink_to_fit();
-    }
   }
+  connection->m_state = ConnectionState::kClosing;
   beast::error_code ignored;
   connection->m_socket.Socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -77,7 +77,16 @@
   Endpoint m_listen;
   std::size_t m_max_header_bytes = 16 * 1024;
   std::size_t m_max_body_bytes = 8 * 1024 * 1024;
+  /** Bytes of trailers, and of one size line with extensions. */
+  std::size_t m_max_trailer_bytes = 16 * 1024;
+  /** Memory of all requests of one thread that are read or handled. Beyond it
+   * the largest one that is being read ends with 503. */
+  std::size_t m_max_held_bytes = 64 * 1024 * 1024;
+  /** When there are so many, a new connection ends an idle one or one whose
+   * request is being read. */
   std::size_t m_max_connections = 10'000;
+  /** Connections may use at most this share of the process's descriptors. */
+  double m_descriptor_share = 0.75;
   base::milliseconds m_idle_timeout{60'000};    ///< between requests
   base::milliseconds m_header_timeout{10'000};  ///< first byte to last header
   base::milliseconds m_body_timeout{30'000};
@@ -90,7 +99,8 @@
  * HTTP server. Several fiber threads may call Serve on one server; each gets
  * its own listening socket on the same port and the kernel distributes the
  * connections. Requests that are malformed, too large or too slow get 400,
- * 413, 431 or 408 without reaching the handler.
+ * 413, 431 or 408 without reaching the handler; 503 if the requests of all
+ * callers hold too much.
  */
 class HttpServer {
  public:
--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -3,6 +3,7 @@
 ww_add_test(net_signal_test ww_net_lib)
 ww_add_test(net_message_test ww_net_lib ww_scenario_lib)
 ww_add_test(net_datagram_test ww_net_lib)
+ww_add_test(memory_budget_test ww_net_lib)
 # Each test measures memory and uses up descriptors of a process, so that each
 # runs alone.
 add_executable(caller_limits_process_test caller_limits_process_test.cpp)
