Avoid a warning of the sanitizer build in the request reader

GCC with sanitizers warned that an empty optional might be read uninitialized when the rest of a body was computed for a chunked request.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -55,10 +55,11 @@
                               base::TimePoint deadline) {
   std::size_t size = kIdleBufferBytes;
   if (parser->is_header_done()) {
-    auto rest = parser->content_length_remaining();
-    size = rest ? static_cast<std::size_t>(std::clamp<std::uint64_t>(
-                      *rest, kIdleBufferBytes, kBodyChunkBytes))
-                : kBodyChunkBytes;
+    std::uint64_t rest = parser->chunked()
+                             ? kBodyChunkBytes
+                             : parser->content_length_remaining().value_or(0);
+    size = static_cast<std::size_t>(
+        std::clamp<std::uint64_t>(rest, kIdleBufferBytes, kBodyChunkBytes));
   }
   IoResult result = connection->m_socket.ReadSome(
       connection->m_buffer.prepare(size), deadline);
