Bound the calls that a control host holds and test each bound

The port of a control host for operators and upstreams used the same server without a bound of its own; it now holds at most two of its longest documents (32 MiB). A budget below one of the longest requests is raised to it, so that a large max_body_bytes isn't refused in calm.

--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -42,6 +42,8 @@
 /** Large enough for a table with tens of thousands of routes. */
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
 constexpr std::size_t kMaxDocumentBytes = 16 << 20;
+/** Of all calls that are read or handled: room for two documents. */
+constexpr std::size_t kMaxHeldBytes = 2 * kMaxDocumentBytes;
 /** Sums of use reports are sent this often, or at once when a request begins to
  * wait, but not more often than with the shorter pause. */
 constexpr base::milliseconds kUseSumPeriod{200};
@@ -283,6 +285,7 @@
   net::HttpServerOptions options;
   options.m_listen = *listen;
   options.m_max_body_bytes = kMaxDocumentBytes;
+  options.m_max_held_bytes = kMaxHeldBytes;
   m_server = std::make_unique<net::HttpServer>(
       options,
       [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -48,6 +48,8 @@
 constexpr base::milliseconds kFirstRequestGrace{100};
 /** Connections keep larger buffers only while they receive. */
 constexpr std::size_t kMaxKeptBufferBytes = 32 * 1024;
+/** A header at its bound, with the overhead of its fields, and buffers. */
+constexpr std::size_t kHeldBesideBody = 4 * 1024 * 1024;
 constexpr const char *kMemoryFullReason = "memory_full";
 constexpr const char *kConnectionsFullReason = "connections_full";
 
@@ -353,6 +355,9 @@
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
     : m_impl(std::make_unique<Impl>()) {
   m_impl->m_options = std::move(options);
+  m_impl->m_options.m_max_held_bytes =
+      std::max(m_impl->m_options.m_max_held_bytes,
+               m_impl->m_options.m_max_body_bytes + kHeldBesideBody);
   m_impl->m_options.m_max_connections =
       LimitByDescriptors(m_impl->m_options.m_max_connections,
                          m_impl->m_options.m_descriptor_share);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -80,7 +80,8 @@
   /** Bytes of trailers, and of one size line with extensions. */
   std::size_t m_max_trailer_bytes = 16 * 1024;
   /** Memory of all requests of one thread that are read or handled. Beyond it
-   * the largest one that is being read ends with 503. */
+   * the largest one that is being read ends with 503. Raised to what one of the
+   * longest requests takes. */
   std::size_t m_max_held_bytes = 64 * 1024 * 1024;
   /** When there are so many, a new connection ends an idle one or one whose
    * request is being read. */
--- a/tests/caller_limits_process_test.cpp
+++ b/tests/caller_limits_process_test.cpp
@@ -1,4 +1,4 @@
-/** @file caller_limits_process_test.cpp Entry hosts and callers that keep to no
+/** @file caller_limits_process_test.cpp Hosts and callers that keep to no
  * limit.
  *
  * Each test starts an entry host, lets a small crowd send what no caller within
@@ -36,6 +36,7 @@
 
 constexpr int kCallersPort = 18'149;
 constexpr int kDirectoryPort = 18'150;
+constexpr int kOperatorsPort = 18'144;
 constexpr int kMessagePort = 18'380;
 constexpr int kAdminPort = 18'381;
 constexpr seconds kStartTimeout{20};
@@ -116,15 +117,8 @@
     m_folder = pattern;
     m_network =
         scenario::MakeLoopbackNetwork(static_cast<std::uint32_t>(::getpid()));
-    fs::path settings = m_folder / "entry.ini";
-    std::ofstream(settings)
-        << "[node]\nname = entry-1\nregion = r\ndomain = a\n[admin]\nlisten = "
-        << Address(kAdminPort)
-        << "\n[network]\nmessage_address = " << Address(kMessagePort)
-        << "\nmessage_port = " << kMessagePort
-        << "\ncontrol_hosts = " << m_network << "2:18144"
-        << "\n[callers]\nlisten = " << Address(kCallersPort)
-        << "\ndirectory = " << Address(kDirectoryPort) << "\n";
+    fs::path settings = m_folder / "host.ini";
+    std::ofstream(settings) << MakeSettings();
     // The child inherits the limit.
     rlimit before{};
     ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
@@ -132,7 +126,7 @@
     ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
     bool is_started =
         m_process
-            .Start(WW_PLATFORM_ENTRY, {"--config=" + settings.string()},
+            .Start(GetProgram(), {"--config=" + settings.string()},
                    m_folder / "log")
             .has_value();
     ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
@@ -154,6 +148,22 @@
     if (!HasFailure()) fs::remove_all(m_folder);
   }
 
+  virtual const char *GetProgram() const { return WW_PLATFORM_ENTRY; }
+  virtual int GetPort() const { return kCallersPort; }
+  virtual std::string MakeSettings() const {
+    return MakeCommonSettings() +
+           "[callers]\nlisten = " + Address(kCallersPort) +
+           "\ndirectory = " + Address(kDirectoryPort) + "\n";
+  }
+
+  std::string MakeCommonSettings() const {
+    return "[node]\nname = host-1\nregion = r\ndomain = a\n[admin]\nlisten = " +
+           Address(kAdminPort) +
+           "\n[network]\nmessage_address = " + Address(kMessagePort) +
+           "\nmessage_port = " + std::to_string(kMessagePort) +
+           "\ncontrol_hosts = " + m_network + "2:18144\n";
+  }
+
   std::string Address(int port) const {
     return m_network + "1:" + std::to_string(port);
   }
@@ -168,7 +178,7 @@
         net::HttpRequest request{"POST", "/x", {}, "ordinary"};
         request.m_headers.Add("X-Wasabiwind-Deadline-Ms", "500");
         is_answered = client
-                          .Fetch(*net::ParseEndpoint(Address(kCallersPort)),
+                          .Fetch(*net::ParseEndpoint(Address(GetPort())),
                                  request, Clock::now() + milliseconds(1'500))
                           .has_value();
       });
@@ -214,7 +224,7 @@
       int count, const std::string &bytes) {
     std::vector<std::unique_ptr<RawCaller>> callers;
     for (int i = 0; i < count; ++i) {
-      callers.push_back(std::make_unique<RawCaller>(Address(kCallersPort)));
+      callers.push_back(std::make_unique<RawCaller>(Address(GetPort())));
       callers.back()->Send(bytes);
     }
     EXPECT_TRUE(IsAnswering(kAnswerTimeout));
@@ -226,6 +236,20 @@
   scenario::ChildProcess m_process;
 };
 
+/** A control host, whose port for operators and upstreams is the same server.
+ */
+class ControlLimitsTest : public CallerLimitsTest {
+ protected:
+  const char *GetProgram() const override { return WW_PLATFORM_CONTROL; }
+  int GetPort() const override { return kOperatorsPort; }
+  std::string MakeSettings() const override {
+    return MakeCommonSettings() +
+           "[group]\ndata_folder = " + (m_folder / "data").string() +
+           "\nlisten = " + Address(kOperatorsPort) +
+           "\nis_first_start = true\n";
+  }
+};
+
 // Trailers were held without a bound, and the process ran out of memory.
 TEST_F(CallerLimitsTest, TrailersWithoutEnd) {
   SendCrowd(kCallersPort, std::string(kChunkedHead) + "1\r\nx\r\n0\r\n",
@@ -273,6 +297,26 @@
   SendAndHold(kUploads, head + std::string(kUploadBytes - 1, 'b'));
 }
 
+// Whole requests that wait for an answer filled the memory as well.
+TEST_F(CallerLimitsTest, BodiesThatWaitForAnswers) {
+  std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                     std::to_string(kUploadBytes) + "\r\n\r\n";
+  SendAndHold(kUploads, head + std::string(kUploadBytes, 'b'));
+}
+
+// The port for operators and upstreams had no bounds either.
+TEST_F(ControlLimitsTest, TrailersWithoutEnd) {
+  SendCrowd(kOperatorsPort, std::string(kChunkedHead) + "1\r\nx\r\n0\r\n",
+            "X-Trailer: " + std::string(1000, 't') + "\r\n");
+}
+
+// Documents that are allowed one by one filled the memory of the machine.
+TEST_F(ControlLimitsTest, BodiesThatStall) {
+  std::string head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                     std::to_string(kUploadBytes) + "\r\n\r\n";
+  SendAndHold(kUploads, head + std::string(kUploadBytes - 1, 'b'));
+}
+
 // Each header of a few bytes takes many times its size once it is parsed.
 TEST_F(CallerLimitsTest, HeadersOfManyFields) {
   SendAndHold(kLongHeaders, "POST /x HTTP/1.1\r\nHost: h\r\n" +
@@ -292,7 +336,7 @@
     net::HttpRequest request{"POST", "/x", {}, std::string(kUploadBytes, 'b')};
     request.m_headers.Add("X-Long", std::string(15 << 10, 'h'));
     request.m_headers.Add("X-Wasabiwind-Deadline-Ms", "5000");
-    auto response = client.Fetch(*net::ParseEndpoint(Address(kCallersPort)),
+    auto response = client.Fetch(*net::ParseEndpoint(Address(GetPort())),
                                  request, Clock::now() + kAnswerTimeout);
     ASSERT_TRUE(response) << response.error().ToString();
     EXPECT_NE(response->m_status, 431);
--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -9,15 +9,24 @@
 add_executable(caller_limits_process_test caller_limits_process_test.cpp)
 target_link_libraries(caller_limits_process_test PRIVATE ww_platform_lib
   ww_scenario_lib GTest::gmock GTest::gtest_main)
-add_dependencies(caller_limits_process_test ww_platform_entry)
+add_dependencies(caller_limits_process_test ww_platform_entry
+  ww_platform_control)
 target_compile_definitions(caller_limits_process_test PRIVATE
-  WW_PLATFORM_ENTRY="$<TARGET_FILE:ww_platform_entry>")
+  WW_PLATFORM_ENTRY="$<TARGET_FILE:ww_platform_entry>"
+  WW_PLATFORM_CONTROL="$<TARGET_FILE:ww_platform_control>")
 foreach(case TrailersWithoutEnd TrailersWithoutEndForTheDirectory
     ChunkExtensionWithoutEnd ChunkSizeWithoutEnd SmallChunksWithExtensions
     BlankLinesBeforeARequest PipelinedRequestsWithUnreadAnswers BodiesThatStall
+    BodiesThatWaitForAnswers
     HeadersOfManyFields SilentConnections LongestAllowedRequestIsAnswered)
   add_test(NAME caller_limits_${case} COMMAND caller_limits_process_test
     --gtest_filter=CallerLimitsTest.${case})
   set_tests_properties(caller_limits_${case} PROPERTIES RUN_SERIAL TRUE
     TIMEOUT 300 LABELS caller_limits)
 endforeach()
+foreach(case TrailersWithoutEnd BodiesThatStall)
+  add_test(NAME control_limits_${case} COMMAND caller_limits_process_test
+    --gtest_filter=ControlLimitsTest.${case})
+  set_tests_properties(control_limits_${case} PROPERTIES RUN_SERIAL TRUE
+    TIMEOUT 300 LABELS caller_limits)
+endforeach()
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -229,6 +230,12 @@
   std::string m_expected_start;  ///< "" for a silent close
 };
 
+std::string Repeat(const std::string &part, int count) {
+  std::string text;
+  for (int i = 0; i < count; ++i) text += part;
+  return text;
+}
+
 class HttpRawTest : public testing::TestWithParam<RawCase> {};
 
 /** Guards against a wrong status for malformed, oversized or slow input. */
@@ -264,12 +271,80 @@
         RawCase{"SlowHeader", "GET / HTTP/1.1\r\nHost:", "HTTP/1.1 408"},
         RawCase{"SlowBody", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nab",
                 "HTTP/1.1 408"},
+        RawCase{"LongTrailers",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "1\r\nx\r\n0\r\nX: " +
+                    std::string(20'000, 't'),
+                "HTTP/1.1 431"},
+        RawCase{"LongChunkSize",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    std::string(20'000, '0'),
+                "HTTP/1.1 431"},
+        RawCase{"ChunksOfExtensions",
+                "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    Repeat("1;" + std::string(1000, 'e') + "\r\nx\r\n", 80),
+                "HTTP/1.1 400"},
+        RawCase{"ChunksOfOneByteWithTrailers",
+                "POST / HTTP/1.1\r\nConnection: close\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n" +
+                    Repeat("1\r\nx\r\n", 900) + "0\r\nX: y\r\n\r\n",
+                "HTTP/1.1 200"},
         RawCase{"CloseRequested", "GET / HTTP/1.1\r\nConnection: close\r\n\r\n",
                 "HTTP/1.1 200"}),
     [](const testing::TestParamInfo<RawCase> &info) {
       return std::string(info.param.m_name);
     });
 
+// Bodies that are allowed one by one must not be held without a common bound,
+// and whoever ends for it must learn that its request didn't run.
+TEST(HttpTest, TheLargestRequestIsRefusedWhenAllHoldTooMuch) {
+  constexpr std::size_t kBodyBytes = 2 << 20;
+  HttpServerOptions options;
+  options.m_max_body_bytes = kBodyBytes;
+  // Three of them with their buffers, not four.
+  options.m_max_held_bytes = 3 * kBodyBytes + (1 << 20);
+  options.m_body_timeout = seconds(2);
+  WithServer(options, Echo, [](const Endpoint &endpoint) {
+    std::string bytes =
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kBodyBytes) +
+        "\r\n\r\n" + std::string(kBodyBytes - 1, 'b');
+    std::vector<std::string> answers(5);
+    std::vector<boost::fibers::fiber> callers;
+    callers.reserve(answers.size());
+    for (std::string &answer : answers) {
+      callers.emplace_back([&] { answer = SendRaw(endpoint, bytes); });
+    }
+    for (boost::fibers::fiber &caller : callers) caller.join();
+    auto refused = std::count_if(
+        answers.begin(), answers.end(), [](const std::string &answer) {
+          return answer.starts_with("HTTP/1.1 503") &&
+                 answer.find("Retry-After: 1\r\n") != std::string::npos &&
+                 answer.find("not_run") != std::string::npos;
+        });
+    EXPECT_EQ(refused, 2);
+  });
+}
+
+// When there are too many connections, those that say nothing must not keep
+// others out.
+TEST(HttpTest, SilentConnectionsMakeRoomForOthers) {
+  HttpServerOptions options;
+  options.m_max_connections = 3;
+  options.m_idle_timeout = seconds(1);
+  WithServer(options, Echo, [](const Endpoint &endpoint) {
+    std::vector<boost::fibers::fiber> silent;
+    for (int i = 0; i < 6; ++i) {
+      silent.emplace_back([&] { (void)SendRaw(endpoint, ""); });
+      SleepFor(milliseconds(5));
+    }
+    HttpClientPool pool;
+    auto response =
+        pool.Fetch(endpoint, HttpRequest{"GET", "/", {}, ""}, In(seconds(5)));
+    EXPECT_TRUE(response);
+    for (boost::fibers::fiber &caller : silent) caller.join();
+  });
+}
+
 /** Guards against a lost response after the caller closed its sending side. */
 TEST(HttpTest, HalfClosedCallerGetsItsResponse) {
   WithServer({}, Echo, [](const Endpoint &endpoint) {
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -179,5 +179,23 @@
   }
 }
 
+// Less memory than the longest request takes would refuse it in calm.
+TEST(PlatformSettingsTest, RequestMemoryHoldsTheLongestRequest) {
+  const std::string common =
+      "[node]\nname = e\n[admin]\nlisten = 127.0.0.1:1\n[network]\n"
+      "message_address = 127.0.0.1:2\nmessage_port = 2\n[callers]\n"
+      "listen = 127.0.0.1:3\n";
+  gen::FleetEntrySettings settings;
+  ASSERT_TRUE(base::ParseSettings(common, "entry.ini", &settings));
+  EXPECT_EQ(settings.callers().request_memory_bytes(), 30 << 20);
+  for (const char *value : {"19MiB", "-1", "0", "20", "all"}) {
+    auto read =
+        base::ParseSettings(common + "request_memory_bytes = " + value + "\n",
+                            "entry.ini", &settings);
+    ASSERT_FALSE(read) << value;
+    EXPECT_FALSE(read.error().m_remedy.empty()) << value;
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwind::platform
