--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -28,7 +28,6 @@
 using base::LogLevel;
 
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
-constexpr std::size_t kMaxCallerConnections = 3'000;
 /** Of each port for addresses and readiness, whose requests are short. */
 constexpr std::size_t kMaxDirectoryConnections = 200;
 constexpr double kDirectoryDescriptorShare = 0.05;
@@ -145,7 +144,8 @@
   options.m_max_body_bytes = kMaxBodyBytes;
   options.m_max_held_bytes =
       static_cast<std::size_t>(m_settings.callers().request_memory_bytes());
-  options.m_max_connections = kMaxCallerConnections;
+  options.m_max_connections =
+      static_cast<std::size_t>(m_settings.callers().max_connections());
   auto callers = Listen(
       m_settings.callers().listen(), options,
       [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
