--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
 
 #include "net/http_reader_internal.h"
 
@@ -49,17 +50,24 @@
   std::size_t m_body_input = 0;      ///< parsed after the header
 };
 
+/** @return how many bytes of the body are missing at least. */
+std::size_t CountMissingBytes(const RequestParser &parser) {
+  if (parser.chunked()) return kBodyChunkBytes;
+  // The parser has checked the value.
+  beast::string_view text = parser.get()[http::field::content_length];
+  std::size_t length = 0;
+  (void)std::from_chars(text.data(), text.data() + text.size(), length);
+  return length - std::min(length, parser.get().body().size());
+}
+
 /** Receives bytes. @return the error, if any; after the caller has closed its
  * sending side: end_of_stream before a request, partial_message inside one */
 beast::error_code ReceiveMore(HttpConnection *connection, RequestParser *parser,
                               base::TimePoint deadline) {
   std::size_t size = kIdleBufferBytes;
   if (parser->is_header_done()) {
-    std::uint64_t rest = parser->chunked()
-                             ? kBodyChunkBytes
-                             : parser->content_length_remaining().value_or(0);
-    size = static_cast<std::size_t>(
-        std::clamp<std::uint64_t>(rest, kIdleBufferBytes, kBodyChunkBytes));
+    size = std::clamp(CountMissingBytes(*parser), kIdleBufferBytes,
+                      kBodyChunkBytes);
   }
   IoResult result = connection->m_socket.ReadSome(
       connection->m_buffer.prepare(size), deadline);
