--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -1,5 +1,6 @@
 ww_add_test(gateway_choose_test ww_gateway_lib)
 ww_add_test(gateway_runner_model_test ww_gateway_lib)
+ww_add_test(gateway_runner_pace_test ww_gateway_lib)
 ww_add_test(gateway_stream_test ww_gateway_lib)
 ww_add_test(gateway_request_key_test ww_platform_lib)
 ww_add_test(gateway_crash_evidence_test ww_gateway_lib)
