Order the choice of upstreams by the pace of those that started or recovered

A fixed penalty from the reported warm-up time kept started services idle, and a pause of 1 to 4 s kept upstreams idle that accept connections again. With pace = true in [upstreams], the load tracker of a runner keeps a limit a start and answers max_in_flight; each host keeps one from its own answers for the rest. A choice at its limit costs 150 ms for each request above it. Unreachable upstreams are checked by a connection and then get one request.

--- a/src/gateway/attempt.cpp
+++ b/src/gateway/attempt.cpp
@@ -95,6 +95,7 @@
   ++m_stats[scope->m_upstream].m_in_flight;
   run();
   UpstreamStats &stats = m_stats[scope->m_upstream];
+  RecordPaceOutcome(*scope);
   stats.m_in_flight = std::max(0, stats.m_in_flight - 1);
   RecordOutcome(*scope);
   bool is_silent = scope->m_attempt_end == AttemptEnd::kSilent;
--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -55,12 +55,7 @@
 UpstreamStats *FindStats(StatsById *stats, const gen::UpstreamReport &report,
                          base::TimePoint now) {
   UpstreamStats &item = (*stats)[report.id()];
-  if (item.m_start_time_ms != report.born_ms()) {
-    int in_flight = item.m_in_flight;
-    item = UpstreamStats();
-    item.m_start_time_ms = report.born_ms();
-    item.m_in_flight = in_flight;
-  }
+  (void)ResetRestartedStats(&item, report.born_ms());
   DecayStats(&item, now);
   return &item;
 }
@@ -96,6 +91,16 @@
              : 0;
 }
 
+/** @return what a start or recovery that this host has seen adds. Without a
+ * pace the warm-up time that an upstream reports is a penalty. */
+double GetWarmUpPenaltyMs(const ChoiceRequest &request,
+                          const gen::UpstreamReport &report,
+                          const UpstreamStats &known, base::TimePoint now) {
+  if (!request.m_is_paced) return report.cold_left_ms() / 100.0;
+  return GetPacePenaltyMs(GetMaxInFlight(known.m_pace, now),
+                          static_cast<std::uint32_t>(known.m_in_flight));
+}
+
 Candidate MakeCandidate(const fleet::FleetView &view,
                         const fleet::UpstreamEntry &entry,
                         const UpstreamStats &known, const Location &location,
@@ -126,8 +131,8 @@
   candidate.m_penalty_ms =
       kMsPerFailure * known.m_failures +
       kMaxAffinityPenaltyMs * GetAffinity(request, report.id()) +
-      report.cold_left_ms() / 100.0 +
       (candidate.m_is_silent ? kSilencePenaltyMs : 0);
+  candidate.m_pace_penalty_ms = GetWarmUpPenaltyMs(request, report, known, now);
   return candidate;
 }
 
@@ -158,7 +163,7 @@
 double GetCostMs(const Candidate &candidate) {
   return candidate.m_processing_ms * candidate.m_slowdown +
          candidate.m_delay_to_others_ms + candidate.m_network_cost_ms +
-         candidate.m_penalty_ms;
+         candidate.m_penalty_ms + candidate.m_pace_penalty_ms;
 }
 
 Candidates ListCandidates(const fleet::FleetView &view, StatsById *stats,
@@ -226,6 +231,11 @@
       load.has_model() ? DecodeModel(load.model(), now) : RunnerModel();
   RunnerWork work{load.unread_tokens(), static_cast<double>(load.in_flight())};
   SetEngineCosts(request, model, work, now, candidate);
+  if (request.m_is_paced) {
+    candidate->m_pace_penalty_ms =
+        std::max(candidate->m_pace_penalty_ms,
+                 GetPacePenaltyMs(load.max_in_flight(), load.in_flight()));
+  }
 }
 
 Choice PickCandidate(const Candidates &candidates) {
--- a/src/gateway/choose_func.h
+++ b/src/gateway/choose_func.h
@@ -33,6 +33,7 @@
   std::uint64_t m_request_hash = 0;  ///< affinity seed without prompt parts
   /** Longest pause of a punctual stream; 0: no pause is too long. */
   base::milliseconds m_max_gap{0};
+  bool m_is_paced = false;  ///< limits of started upstreams order the choice
 };
 
 /** Why no upstream can be chosen. If several apply, the last one counts. */
@@ -75,6 +76,7 @@
   double m_network_cost_ms = 0;    ///< round trip and cost of the traffic
   double m_round_trip_ms = 0;      ///< without the cost of the traffic
   double m_penalty_ms = 0;         ///< failures, silence, cold start, affinity
+  double m_pace_penalty_ms = 0;    ///< limit after a start or recovery
   bool m_is_silent = false;        ///< its heartbeats are missing
   bool m_is_load_queried = false;  ///< at its load tracker
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -145,6 +145,7 @@
   if (m_on_caller_limits) m_on_caller_limits(m_routes->m_table.limits());
   m_view_changed.notify_all();
   if (!is_first) return;
+  m_routes_known_at = base::Clock::now();
   UpdateOwnReport();
   SendAll(fleet::AnnounceToFollowed(&m_follower, base::Clock::now()));
 }
@@ -225,6 +226,7 @@
               {"state", gen::UpstreamState_Name(report.state())},
               {"publisher", from}});
   }
+  RecordStarts(result.m_changed_upstreams, base::Clock::now());
   SendAll(result.m_messages);
   if (!result.m_changed_upstreams.empty()) m_view_changed.notify_all();
 }
@@ -385,6 +387,7 @@
     CancelAbandonedRequests();
     ResumeAwakenedAttempts();
     ConfirmLossesByView(now);
+    ProbeUnreachable(now);
     net::SleepFor(kTimerPeriod);
   }
   runner_checks.join();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -179,6 +179,17 @@
   void ReportRunnerLoad(const RequestScope &scope, gen::LoadEvent event);
   void TrackRunnerLoad(const gen::LoadUpdate &update);
 
+  // gateway_pace.cpp
+  bool IsPaced() const;
+  void RecordStarts(const std::vector<std::string> &changed,
+                    base::TimePoint now);
+  void RecordPaceOfAnswer(const RequestScope &scope, base::TimePoint now);
+  void RecordPaceOutcome(const RequestScope &scope);
+  void ProbeUnreachable(base::TimePoint now);
+  void RecordProbed(const std::string &upstream, std::uint64_t born_ms);
+  void ReportPaceChange(const std::string &upstream, const char *observer,
+                        const RunnerPace &pace, PaceChange change);
+
   // gateway.cpp
   void SendAll(const std::vector<fleet::OutMessage> &messages);
   void LogPublisherChange();
@@ -204,8 +215,9 @@
   Location m_location;
   fleet::Follower m_follower;
   fleet::FreshnessState m_freshness;
-  std::string m_logged_publisher;  ///< last one followed, for the log
-  routes::RouteIndexPtr m_routes;  ///< nullptr until a table is known
+  std::string m_logged_publisher;     ///< last one followed, for the log
+  routes::RouteIndexPtr m_routes;     ///< nullptr until a table is known
+  base::TimePoint m_routes_known_at;  ///< the first table
   StatsById m_stats;
   UseCounts m_use_counts;
   CrashEvidence m_crash_evidence;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -155,6 +155,9 @@
   scope->m_reason += sent.error().m_message;
 }
 
+/** @return what the last attempt of a request says about its upstream. */
+gen::LoadOutcome GetLoadOutcome(const RequestScope &scope);
+
 /** @return the time until the deadline of a request. */
 inline base::Duration GetRemaining(const RequestScope &scope,
                                    base::TimePoint now) {
--- a/src/gateway/gateway_load.cpp
+++ b/src/gateway/gateway_load.cpp
@@ -86,28 +86,10 @@
       std::max<std::int64_t>(0, base::ToMilliseconds(duration)));
 }
 
-gen::LoadOutcome GetLoadOutcome(AttemptEnd end) {
-  switch (end) {
-    case AttemptEnd::kAnswered:
-      return gen::LOAD_ANSWERED;
-    case AttemptEnd::kNotRun:
-      return gen::LOAD_REFUSED;
-    case AttemptEnd::kUnknown:
-    case AttemptEnd::kSilent:
-      return gen::LOAD_FAILED;
-    case AttemptEnd::kTimedOut:
-    case AttemptEnd::kCallerGone:
-      return gen::LOAD_ABANDONED;
-    case AttemptEnd::kEnd:
-      break;
-  }
-  return gen::LOAD_OUTCOME_UNKNOWN;
-}
-
 /** Adds what the tracker learns from about the attempt that ended. */
 void AddAttemptEnd(const RequestScope &scope, gen::LoadUpdate *update) {
   const Attempt &attempt = scope.m_attempt;
-  update->set_outcome(GetLoadOutcome(scope.m_attempt_end));
+  update->set_outcome(GetLoadOutcome(scope));
   if (!attempt.m_has_begun_answer || attempt.m_event_count == 0) return;
   update->set_event_count(static_cast<std::uint32_t>(attempt.m_event_count));
   update->set_stream_ms(
@@ -252,8 +234,17 @@
   const gen::RoutedService *service =
       routes::FindService(*m_routes, found->second.m_report.service());
   if (service == nullptr) return;
-  ApplyLoadUpdate(&m_runner_loads, update, service->engine().kv_tokens(),
-                  base::Clock::now());
+  base::TimePoint now = base::Clock::now();
+  if (IsPaced()) {
+    auto stats = m_stats.find(update.upstream());
+    base::TimePoint started_at =
+        stats == m_stats.end() ? base::TimePoint() : stats->second.m_started_at;
+    PaceChange change =
+        ApplyPaceUpdate(&m_runner_loads, update, started_at, now);
+    ReportPaceChange(update.upstream(), "tracker",
+                     m_runner_loads[update.upstream()].m_pace, change);
+  }
+  ApplyLoadUpdate(&m_runner_loads, update, service->engine().kv_tokens(), now);
 }
 
 /** Tells a runner's load tracker about a request at the runner. */
@@ -281,6 +272,8 @@
     // 0 stands for a time that wasn't measured.
     update->set_first_event_ms(
         std::max(1u, ToUnsignedMs(now - scope.m_attempt.m_sent_at)));
+    update->set_expected_ms(static_cast<std::uint32_t>(
+        scope.m_attempt.m_choice.m_expected_latency.count()));
   } else {
     AddAttemptEnd(scope, update);
   }
--- a/src/gateway/relay.cpp
+++ b/src/gateway/relay.cpp
@@ -148,6 +148,7 @@
   attempt.m_first_byte_at = now;
   scope->m_silent_attempt.reset();
   ReportRunnerLoad(*scope, gen::LOAD_READ);
+  RecordPaceOfAnswer(*scope, now);
   if (scope->m_first_byte_at == base::TimePoint()) scope->m_first_byte_at = now;
   UpstreamStats &stats = m_stats[scope->m_upstream];
   RecordSuccess(&stats, now - attempt.m_sent_at,
@@ -228,6 +229,7 @@
   } else {
     RecordSuccess(&m_stats[scope->m_upstream], now - attempt.m_sent_at,
                   attempt.m_choice.m_expected_latency, now);
+    RecordPaceOfAnswer(*scope, now);
   }
   bool may_retry =
       is_failure && (HasAttemptsLeft(*scope) || scope->m_silent_attempt);
--- a/src/gateway/request.cpp
+++ b/src/gateway/request.cpp
@@ -235,6 +235,7 @@
   choice.m_excluded = scope.m_excluded;
   choice.m_request_hash = scope.m_request_hash;
   choice.m_max_gap = base::milliseconds(scope.m_route->max_gap_ms());
+  choice.m_is_paced = IsPaced();
   return choice;
 }
 
--- a/src/gateway/runner_check.cpp
+++ b/src/gateway/runner_check.cpp
@@ -57,6 +57,7 @@
         !connected && connected.error().m_kind == base::ErrorKind::kIo;
     CountCheck(has_ended ? "ended" : connected ? "runs" : "silent");
     if (has_ended) RecordRunnerEnd(check.m_upstream, check.m_born_ms);
+    if (connected) RecordProbed(check.m_upstream, check.m_born_ms);
   }
 }
 
--- a/src/gateway/runner_load.cpp
+++ b/src/gateway/runner_load.cpp
@@ -50,6 +50,7 @@
                                update.chain_keys().end());
   request.m_part_tokens.assign(update.part_tokens().begin(),
                                update.part_tokens().end());
+  request.m_sent_at = now;
   load->m_prefill_tokens += request.m_prefill_tokens;
   load->m_requests.emplace(update.request(), std::move(request));
 }
@@ -112,14 +113,19 @@
 
 }  // namespace
 
+bool ResetRestartedLoad(RunnerLoad *load, std::uint64_t start_time_ms) {
+  if (load->m_start_time_ms > start_time_ms) return false;
+  if (load->m_start_time_ms < start_time_ms) {
+    *load = RunnerLoad();
+    load->m_start_time_ms = start_time_ms;
+  }
+  return true;
+}
+
 void ApplyLoadUpdate(RunnerLoads *loads, const gen::LoadUpdate &update,
                      std::uint64_t capacity, base::TimePoint now) {
   RunnerLoad &load = (*loads)[update.upstream()];
-  if (load.m_start_time_ms > update.born_ms()) return;
-  if (load.m_start_time_ms < update.born_ms()) {
-    load = RunnerLoad();
-    load.m_start_time_ms = update.born_ms();
-  }
+  if (!ResetRestartedLoad(&load, update.born_ms())) return;
   load.m_updated_at = now;
   if (update.event() == gen::LOAD_SENT) {
     BeginRequest(&load, update, now);
@@ -144,6 +150,7 @@
   answer.set_in_flight(static_cast<std::uint32_t>(load.m_requests.size()));
   answer.set_unread_tokens(load.m_prefill_tokens);
   AddModel(load, now, &answer);
+  answer.set_max_in_flight(GetMaxInFlight(load.m_pace, now));
   RequestMetadata metadata = MakePromptMetadata(query.part_tokens());
   std::vector<std::uint64_t> keys(query.chain_keys().begin(),
                                   query.chain_keys().end());
--- a/src/gateway/runner_load_func.h
+++ b/src/gateway/runner_load_func.h
@@ -32,6 +32,7 @@
   base::TimePoint m_ends_at;           ///< its caller has given up by then
   std::vector<std::uint64_t> m_prefix_keys;  ///< of its prompt parts
   std::vector<std::uint32_t> m_part_tokens;  ///< of its prompt parts
+  base::TimePoint m_sent_at;
 };
 
 /** What the load tracker of a runner knows of it. */
@@ -42,11 +43,17 @@
   PrefixCacheEstimate m_prefix_cache;
   RunnerModel m_model;
   base::TimePoint m_updated_at;
+  bool m_is_pace_known = false;  ///< false until its start was judged
+  RunnerPace m_pace;             ///< limit on m_requests
 };
 
 /** By upstream. Not thread-safe. Bounded by ForgetRunnerLoads. */
 using RunnerLoads = absl::flat_hash_map<std::string, RunnerLoad>;
 
+/** Forgets the load of a former start of a runner.
+ * @return false if the start has been replaced by a later one */
+bool ResetRestartedLoad(RunnerLoad *load, std::uint64_t start_time_ms);
+
 /**
  * Applies a reported event of a request.
  * @param capacity size of the runner's prefix cache, in tokens
@@ -54,6 +61,15 @@
 void ApplyLoadUpdate(RunnerLoads *loads, const gen::LoadUpdate &update,
                      std::uint64_t capacity, base::TimePoint now);
 
+/**
+ * Applies a reported event to the pace of its runner.
+ * @param started_at when this host heard of the runner's start, or 0
+ * @pre called before ApplyLoadUpdate with the same update
+ * @return what it did to the limit
+ */
+PaceChange ApplyPaceUpdate(RunnerLoads *loads, const gen::LoadUpdate &update,
+                           base::TimePoint started_at, base::TimePoint now);
+
 /** @return the tracked load of a runner. */
 gen::LoadAnswer MakeLoadAnswer(RunnerLoads *loads, const gen::LoadQuery &query,
                                base::TimePoint now);
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -20,6 +20,17 @@
 constexpr base::milliseconds kFirstDownTime{1'000};
 constexpr int kMaxDownTimeDoublings = 2;
 constexpr double kUnreachableWeight = 2.0;
+/** Time to the first check of an unreachable upstream, and between two. Each
+ * pause since its last success doubles it: an upstream that accepts connections
+ * but no requests would have one fail after each check. */
+constexpr base::milliseconds kProbePeriod{250};
+constexpr int kMaxProbeDoublings = 3;
+
+base::milliseconds GetProbePeriod(const UpstreamStats &stats) {
+  int doublings =
+      std::clamp(stats.m_unreachable_count - 1, 0, kMaxProbeDoublings);
+  return kProbePeriod * (1 << doublings);
+}
 
 double GetDecayFactor(double seconds, double half_life) {
   return std::exp2(-seconds / half_life);
@@ -91,6 +102,15 @@
   }
 }
 
+bool ResetRestartedStats(UpstreamStats *stats, std::uint64_t start_time_ms) {
+  if (stats->m_start_time_ms == start_time_ms) return false;
+  int in_flight = stats->m_in_flight;
+  *stats = UpstreamStats();
+  stats->m_start_time_ms = start_time_ms;
+  stats->m_in_flight = in_flight;
+  return true;
+}
+
 void DecayStats(UpstreamStats *stats, base::TimePoint now) {
   if (stats->m_updated_at == base::TimePoint()) stats->m_updated_at = now;
   double seconds =
@@ -138,6 +158,22 @@
   int doublings = std::min(stats->m_unreachable_count, kMaxDownTimeDoublings);
   ++stats->m_unreachable_count;
   stats->m_down_until = now + kFirstDownTime * (1 << doublings);
+  stats->m_probe_at = now + GetProbePeriod(*stats);
+}
+
+bool TakeProbe(UpstreamStats *stats, base::TimePoint now) {
+  if (now >= stats->m_down_until || now < stats->m_probe_at) return false;
+  stats->m_probe_at = now + GetProbePeriod(*stats);
+  return true;
+}
+
+bool RecordReachable(UpstreamStats *stats, base::TimePoint now) {
+  if (now >= stats->m_down_until) return false;
+  stats->m_down_until = now;
+  // The limit bounds what a further failure costs.
+  stats->m_failures = 0;
+  BeginPace(&stats->m_pace, PaceCause::kRecovery, now);
+  return true;
 }
 
 }  // namespace wasabiwind::gateway
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -12,6 +12,7 @@
 
 #include "base/time_type.h"
 #include "gateway/protocol_type.h"
+#include "gateway/runner_pace_func.h"
 
 namespace wasabiwind::gateway {
 
@@ -39,6 +40,9 @@
   base::TimePoint m_updated_at;
   base::TimePoint m_down_until;  ///< gets no requests until then
   int m_unreachable_count = 0;   ///< pauses since the last success
+  base::TimePoint m_probe_at;    ///< next check whether it is reachable again
+  base::TimePoint m_started_at;  ///< this host heard of its start, if it saw it
+  RunnerPace m_pace;             ///< limit on m_in_flight
   /** It said so in an answer. Ends only with its process, whatever it reports.
    */
   bool m_is_leaving = false;
@@ -73,6 +77,10 @@
                         const std::vector<std::uint64_t> &keys,
                         std::uint64_t capacity);
 
+/** Forgets all but this host's requests in flight, if an upstream has started
+ * again. @return whether it has, or its start was unknown */
+bool ResetRestartedStats(UpstreamStats *stats, std::uint64_t start_time_ms);
+
 /** Applies exponential decay to failures and slowdown. */
 void DecayStats(UpstreamStats *stats, base::TimePoint now);
 
@@ -92,6 +100,15 @@
  * already. */
 void RecordUnreachable(UpstreamStats *stats, base::TimePoint now);
 
+/** @return whether an unreachable upstream should be checked now; the next
+ * check is due later. */
+bool TakeProbe(UpstreamStats *stats, base::TimePoint now);
+
+/** Ends the pause of an upstream that accepts connections again, forgets its
+ * failures and limits its requests until it answers. @return whether it was
+ * paused */
+bool RecordReachable(UpstreamStats *stats, base::TimePoint now);
+
 }  // namespace wasabiwind::gateway
 
 #endif  // WASABIWIND_GATEWAY_UPSTREAM_STATS_FUNC_H_
