Check unreachable upstreams until they accept connections, and replay the pace

A recovered runner was left idle longer by the decay of its failures than by its pause, so a check that ends with the pause changed nothing.

--- a/src/gateway/gateway_pace.cpp
+++ b/src/gateway/gateway_pace.cpp
@@ -130,7 +130,7 @@
   ReportPaceChange(scope.m_upstream, kHostObserver, stats.m_pace, change);
 }
 
-/** Has upstreams in a pause after a refused connection checked. */
+/** Has upstreams that refused a connection checked. */
 void Gateway::ProbeUnreachable(base::TimePoint now) {
   if (!IsPaced()) return;
   int limited = 0;
@@ -149,7 +149,7 @@
   gauge.Set(limited);
 }
 
-/** Ends the pause of an upstream that accepts connections again. */
+/** Begins to use an upstream that accepts connections again. */
 void Gateway::RecordProbed(const std::string &upstream, std::uint64_t born_ms) {
   auto found = m_stats.find(upstream);
   bool is_same_start =
--- a/src/gateway/upstream_stats.cpp
+++ b/src/gateway/upstream_stats.cpp
@@ -20,16 +20,20 @@
 constexpr base::milliseconds kFirstDownTime{1'000};
 constexpr int kMaxDownTimeDoublings = 2;
 constexpr double kUnreachableWeight = 2.0;
-/** Time to the first check of an unreachable upstream, and between two. Each
- * pause since its last success doubles it: an upstream that accepts connections
- * but no requests would have one fail after each check. */
+/** Time to the first check of an unreachable upstream, and least time between
+ * two. Each check that let requests fail doubles it: the upstream accepts
+ * connections but no requests. */
 constexpr base::milliseconds kProbePeriod{250};
-constexpr int kMaxProbeDoublings = 3;
+constexpr int kMaxProbeDoublings = 4;
+/** Checks become rarer with the time for which it has been unreachable. */
+constexpr int kProbesPerDownTime = 4;
+constexpr base::milliseconds kMaxProbePeriod{4'000};
 
-base::milliseconds GetProbePeriod(const UpstreamStats &stats) {
-  int doublings =
-      std::clamp(stats.m_unreachable_count - 1, 0, kMaxProbeDoublings);
-  return kProbePeriod * (1 << doublings);
+base::Duration GetProbePeriod(const UpstreamStats &stats, base::TimePoint now) {
+  int doublings = std::min(stats.m_recovery_count, kMaxProbeDoublings);
+  return std::clamp<base::Duration>(
+      (now - stats.m_unreachable_since) / kProbesPerDownTime,
+      kProbePeriod * (1 << doublings), kMaxProbePeriod);
 }
 
 double GetDecayFactor(double seconds, double half_life) {
@@ -131,6 +135,8 @@
   DecayStats(stats, now);
   stats->m_failures *= kFailureFactorOnSuccess;
   stats->m_unreachable_count = 0;
+  stats->m_recovery_count = 0;
+  stats->m_is_unreachable = false;
   double ratio =
       std::chrono::duration<double>(actual).count() /
       std::max(1e-3, std::chrono::duration<double>(expected).count());
@@ -158,18 +164,22 @@
   int doublings = std::min(stats->m_unreachable_count, kMaxDownTimeDoublings);
   ++stats->m_unreachable_count;
   stats->m_down_until = now + kFirstDownTime * (1 << doublings);
-  stats->m_probe_at = now + GetProbePeriod(*stats);
+  if (!stats->m_is_unreachable) stats->m_unreachable_since = now;
+  stats->m_is_unreachable = true;
+  stats->m_probe_at = now + GetProbePeriod(*stats, now);
 }
 
 bool TakeProbe(UpstreamStats *stats, base::TimePoint now) {
-  if (now >= stats->m_down_until || now < stats->m_probe_at) return false;
-  stats->m_probe_at = now + GetProbePeriod(*stats);
+  if (!stats->m_is_unreachable || now < stats->m_probe_at) return false;
+  stats->m_probe_at = now + GetProbePeriod(*stats, now);
   return true;
 }
 
 bool RecordReachable(UpstreamStats *stats, base::TimePoint now) {
-  if (now >= stats->m_down_until) return false;
-  stats->m_down_until = now;
+  if (!stats->m_is_unreachable) return false;
+  stats->m_is_unreachable = false;
+  stats->m_down_until = std::min(stats->m_down_until, now);
+  ++stats->m_recovery_count;
   // The limit bounds what a further failure costs.
   stats->m_failures = 0;
   BeginPace(&stats->m_pace, PaceCause::kRecovery, now);
--- a/src/gateway/upstream_stats_func.h
+++ b/src/gateway/upstream_stats_func.h
@@ -40,6 +40,10 @@
   base::TimePoint m_updated_at;
   base::TimePoint m_down_until;  ///< gets no requests until then
   int m_unreachable_count = 0;   ///< pauses since the last success
+  int m_recovery_count = 0;      ///< pauses ended by a check since then
+  /** It refused a connection and has accepted none since. */
+  bool m_is_unreachable = false;
+  base::TimePoint m_unreachable_since;
   base::TimePoint m_probe_at;    ///< next check whether it is reachable again
   base::TimePoint m_started_at;  ///< this host heard of its start, if it saw it
   RunnerPace m_pace;             ///< limit on m_in_flight
@@ -106,7 +110,7 @@
 
 /** Ends the pause of an upstream that accepts connections again, forgets its
  * failures and limits its requests until it answers. @return whether it was
- * paused */
+ * unreachable */
 bool RecordReachable(UpstreamStats *stats, base::TimePoint now);
 
 }  // namespace wasabiwind::gateway
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -1,6 +1,7 @@
 ww_add_test(gateway_choose_test ww_gateway_lib)
 ww_add_test(gateway_runner_model_test ww_gateway_lib)
 ww_add_test(gateway_runner_pace_test ww_gateway_lib)
+ww_add_test(gateway_pace_replay_test ww_gateway_lib)
 ww_add_test(gateway_stream_test ww_gateway_lib)
 ww_add_test(gateway_request_key_test ww_platform_lib)
 ww_add_test(gateway_crash_evidence_test ww_gateway_lib)
