Test checks of unreachable runners through a gateway

The checks were tested as functions only; that a gateway makes them, ends the pause and wakes requests that wait was not.

--- a/tests/gateway_request_test.cpp
+++ b/tests/gateway_request_test.cpp
@@ -541,5 +541,45 @@
   });
 }
 
+/** @return the status of a request to a runner that refuses connections until
+ * shortly before. */
+int CallRecoveredRunner(const char *pace) {
+  int status = 0;
+  net::RunFiberThread([&] {
+    net::HttpServerOptions options = FakeRunner::MakeOptions();
+    {
+      FakeRunner closed(
+          [](int, const net::HttpRequest &, net::HttpExchange &) {});
+      options.m_listen.m_port = closed.m_server.Port();
+    }
+    gen::FleetEntrySettings settings = MakeSettings();
+    settings.mutable_upstreams()->set_pace(pace);
+    Harness harness(
+        {}, {"127.0.0.1:" + std::to_string(options.m_listen.m_port)}, settings);
+    FakeExchange refused;
+    harness.Call("/safe/", &refused, "100");
+    EXPECT_EQ(refused.m_status, 503);
+    net::HttpServer server(options, [](const net::HttpRequest &request,
+                                       net::HttpExchange &exchange) {
+      AnswerSigned(request, exchange, 200, "done");
+    });
+    ASSERT_TRUE(server.Listen());
+    boost::fibers::fiber serving([&server] { server.Serve(); });
+    FakeExchange exchange;
+    harness.Call("/safe/", &exchange, "1200");
+    status = exchange.m_status;
+    server.Stop();
+    serving.join();
+  });
+  return status;
+}
+
+// A runner that accepts connections again is left idle to the end of its pause,
+// while requests that only it can take are refused.
+TEST(GatewayRequestTest, RecoveredRunnerIsUsedBeforeTheEndOfItsPause) {
+  EXPECT_EQ(CallRecoveredRunner("false"), 503);
+  EXPECT_EQ(CallRecoveredRunner("true"), 200);
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
--- a/tests/gateway_runner_pace_test.cpp
+++ b/tests/gateway_runner_pace_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include "gateway/runner_pace_func.h"
+#include "gateway/upstream_stats_func.h"
 
 namespace wasabiwind::gateway {
 namespace {
@@ -97,5 +98,34 @@
   EXPECT_LT(GetPacePenaltyMs(1, 1'000), 1e6);
 }
 
+// An upstream that accepts connections again would be left idle by what its
+// failures cost, or get all requests at once.
+TEST(RunnerPaceTest, ReachableUpstreamGetsOneRequest) {
+  UpstreamStats stats;
+  EXPECT_FALSE(TakeProbe(&stats, At(0)));
+  RecordUnreachable(&stats, At(0));
+  EXPECT_FALSE(TakeProbe(&stats, At(100)));
+  EXPECT_TRUE(TakeProbe(&stats, At(300)));
+  EXPECT_FALSE(TakeProbe(&stats, At(310)));
+  EXPECT_TRUE(TakeProbe(&stats, At(5'000))) << "its pause has ended";
+  EXPECT_TRUE(RecordReachable(&stats, At(5'000)));
+  EXPECT_FALSE(RecordReachable(&stats, At(5'001)));
+  EXPECT_EQ(stats.m_failures, 0);
+  EXPECT_EQ(GetMaxInFlight(stats.m_pace, At(5'001)), 1u);
+}
+
+// An upstream that accepts connections but no requests would have one fail
+// after each check.
+TEST(RunnerPaceTest, ChecksThatLetRequestsFailBecomeRarer) {
+  UpstreamStats stats;
+  for (int i = 0; i < 3; ++i) {
+    RecordUnreachable(&stats, At(10'000 * i));
+    ASSERT_TRUE(RecordReachable(&stats, At(10'000 * i + 300)));
+  }
+  RecordUnreachable(&stats, At(30'000));
+  EXPECT_FALSE(TakeProbe(&stats, At(31'500)));
+  EXPECT_TRUE(TakeProbe(&stats, At(32'100)));
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
