--- a/src/gateway/gateway_pace.cpp
+++ b/src/gateway/gateway_pace.cpp
@@ -121,9 +121,7 @@
   if (!IsPaced() || stats.m_start_time_ms != scope.m_attempt.m_runner_start_ms)
     return;
   gen::LoadOutcome outcome = GetLoadOutcome(scope);
-  bool is_failure =
-      outcome == gen::LOAD_FAILED ||
-      (outcome == gen::LOAD_REFUSED && GetMaxInFlight(stats.m_pace, now) > 0);
+  bool is_failure = outcome == gen::LOAD_FAILED || outcome == gen::LOAD_REFUSED;
   if (!is_failure) return;
   PaceChange change =
       RecordPaceFailure(&stats.m_pace, MakePaceSample(scope, stats), now);
--- a/src/gateway/runner_load_pace.cpp
+++ b/src/gateway/runner_load_pace.cpp
@@ -39,10 +39,8 @@
     return RecordPaceAnswer(&load.m_pace, sample, now);
   }
   if (update.event() != gen::LOAD_OVER) return PaceChange::kNone;
-  // A refusal lowers a limit; alone it may have other causes than the load.
   bool is_failure = update.outcome() == gen::LOAD_FAILED ||
-                    (update.outcome() == gen::LOAD_REFUSED &&
-                     GetMaxInFlight(load.m_pace, now) > 0);
+                    update.outcome() == gen::LOAD_REFUSED;
   if (!is_failure) return PaceChange::kNone;
   return RecordPaceFailure(&load.m_pace, sample, now);
 }
--- a/src/gateway/runner_pace.cpp
+++ b/src/gateway/runner_pace.cpp
@@ -16,7 +16,6 @@
 /** An answer is late beyond this multiple of the upstream's usual ratio. */
 constexpr double kLateFactor = 1.5;
 constexpr double kFallFactor = 0.5;
-constexpr int kFailuresToBegin = 3;
 /** The limit binds while more than this share of it is in flight. */
 constexpr double kBindingShare = 0.5;
 /** Successive answers, while the limit does not bind, that end it. */
@@ -73,7 +72,6 @@
 
 PaceChange RecordPaceAnswer(RunnerPace *pace, const PaceSample &sample,
                             base::TimePoint now) {
-  pace->m_failures_in_row = 0;
   if (pace->m_limit == 0) return PaceChange::kNone;
   if (!IsLimited(*pace, now)) return EndPace(pace);
   if (pace->m_first_sample_at == base::TimePoint()) {
@@ -98,13 +96,7 @@
 
 PaceChange RecordPaceFailure(RunnerPace *pace, const PaceSample &sample,
                              base::TimePoint now) {
-  ++pace->m_failures_in_row;
-  if (!IsLimited(*pace, now)) {
-    if (pace->m_failures_in_row < kFailuresToBegin) return PaceChange::kNone;
-    pace->m_cause = PaceCause::kFailures;
-    LowerLimit(pace, kFallFactor * sample.m_in_flight, now);
-    return PaceChange::kBegun;
-  }
+  if (!IsLimited(*pace, now)) return PaceChange::kNone;
   if (sample.m_sent_at < pace->m_begun_at) return PaceChange::kNone;
   LowerLimit(pace, kFallFactor * pace->m_limit, now);
   return PaceChange::kFell;
@@ -126,8 +118,6 @@
       return "start";
     case PaceCause::kRecovery:
       return "recovery";
-    case PaceCause::kFailures:
-      return "failures";
     case PaceCause::kEnd:
       break;
   }
--- a/src/gateway/runner_pace_func.h
+++ b/src/gateway/runner_pace_func.h
@@ -19,7 +19,6 @@
 enum class PaceCause : std::uint8_t {
   kStart,     ///< the process has just started
   kRecovery,  ///< it refused connections and accepts them again
-  kFailures,  ///< several answers in a row failed
   kEnd,
 };
 
@@ -44,7 +43,6 @@
   double m_careful_above = 0;
   double m_usual_ratio = 0;   ///< lowest of actual to expected time; 0: unknown
   int m_unbound_answers = 0;  ///< in a row, while the limit did not bind
-  int m_failures_in_row = 0;
   base::TimePoint m_begun_at;         ///< also the time of the last fall
   base::TimePoint m_first_sample_at;  ///< since it began or last fell
 };
@@ -65,9 +63,9 @@
                             base::TimePoint now);
 
 /**
- * Applies a failure or a refusal. Failures of requests that were sent before
- * the limit last fell don't lower it again. Several failures in a row begin a
- * limit. @return what it did to the limit
+ * Applies a failure or a refusal, which lowers a limit but begins none: answers
+ * may be lost on the way. Failures of requests that were sent before the limit
+ * last fell don't lower it again. @return what it did to the limit
  */
 PaceChange RecordPaceFailure(RunnerPace *pace, const PaceSample &sample,
                              base::TimePoint now);
