--- a/src/gateway/choose.cpp
+++ b/src/gateway/choose.cpp
@@ -91,14 +91,17 @@
              : 0;
 }
 
-/** @return what a start or recovery that this host has seen adds. Without a
- * pace the warm-up time that an upstream reports is a penalty. */
+/** @return what a start or recovery adds. An engine that warms up is slow for
+ * all streams there; for other services a pace replaces the warm-up time. */
 double GetWarmUpPenaltyMs(const ChoiceRequest &request,
                           const gen::UpstreamReport &report,
                           const UpstreamStats &known, base::TimePoint now) {
-  if (!request.m_is_paced) return report.cold_left_ms() / 100.0;
-  return GetPacePenaltyMs(GetMaxInFlight(known.m_pace, now),
-                          static_cast<std::uint32_t>(known.m_in_flight));
+  double cold_ms = report.cold_left_ms() / 100.0;
+  if (!request.m_is_paced) return cold_ms;
+  double pace_ms = GetPacePenaltyMs(
+      GetMaxInFlight(known.m_pace, now),
+      static_cast<std::uint32_t>(std::max(0, known.m_in_flight)));
+  return request.m_service->has_engine() ? std::max(cold_ms, pace_ms) : pace_ms;
 }
 
 Candidate MakeCandidate(const fleet::FleetView &view,
