--- a/tests/gateway_pace_replay_test.cpp
+++ b/tests/gateway_pace_replay_test.cpp
@@ -194,7 +194,7 @@
       query.set_upstream(candidate.m_upstream);
       *query.mutable_chain_keys() = update.chain_keys();
       *query.mutable_part_tokens() = update.part_tokens();
-      ApplyLoad(request, MakeLoadAnswer(&m_loads, query, At(m_now)),
+      ApplyLoad(request, MakeLoadAnswer(&m_loads, query, At(m_now)), At(m_now),
                 &candidate);
     }
     sent->m_choice = PickCandidate(candidates);
