Play keys and their revocation in the soak

The soak had no teams, so that nothing checked revocation on real processes. The monitor checks that no request runs under a key revoked longer ago, that runners see no key and the right team, and that the lasting key is never unknown.

--- a/soak/client.cpp
+++ b/soak/client.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kRequestsPerAbandonment = 15;   ///< mean
 constexpr int kMaxRedirects = 2;
 constexpr std::uint64_t kPromptsPerCrashingPrompt = 12;  ///< mean
+constexpr std::uint64_t kRequestsPerPassingKey = 5;      ///< mean
+constexpr const char *kPublicPath = "/move/";
 constexpr std::uint32_t kPromptTokens = 400;
 constexpr std::uint32_t kOutputTokens = 32;
 
@@ -188,9 +190,23 @@
   }
   FillRequest(kind.m_path, "body of " + request.m_id, model,
               std::move(prompt_parts), &request, record);
+  if (m_monitor->m_has_teams) AddKey(&request, record);
   return request;
 }
 
+/** Adds the lasting key, or that of one version, which may be revoked. */
+void Caller::AddKey(CallerRequest *request, RequestRecord *record) {
+  bool is_public = record->m_path == kPublicPath;
+  bool is_passing =
+      !is_public && NextRandomBelow(&m_random, kRequestsPerPassingKey) == 0;
+  if (is_passing) {
+    record->m_key_version =
+        m_monitor->ChooseKeyVersion(base::NextRandom(&m_random));
+  }
+  request->m_key = Monitor::MakeKey(record->m_key_version);
+  if (!is_public) record->m_team = Monitor::kTeam;
+}
+
 void Caller::Send() {
   RequestRecord record;
   CallerRequest request = MakeRandomRequest(&record);
@@ -207,7 +223,10 @@
   options.m_wait =
       is_abandoned ? request.m_caller_timeout / 20 : request.m_caller_timeout;
   m_monitor->RecordRequest(request.m_id, record);
-  if (m_request_counts != nullptr) ++m_request_counts->m_sent;
+  // Requests with the key of one version are refused once it is revoked.
+  RequestCounts *counts =
+      record.m_key_version == Monitor::kLastingKey ? m_request_counts : nullptr;
+  if (counts != nullptr) ++counts->m_sent;
   switch (
       ExchangeRequest(options, request, &m_client, *m_protocol, m_monitor)) {
     case ExchangeOutcome::kNoConnection:
@@ -220,7 +239,7 @@
       ++m_monitor->m_counts[is_abandoned ? "given_up" : "no_answer"];
       return;
     case ExchangeOutcome::kServed:
-      if (m_request_counts != nullptr) ++m_request_counts->m_served;
+      if (counts != nullptr) ++counts->m_served;
       return;
     default:
       return;
@@ -281,6 +300,9 @@
     route.mutable_targets(0)->set_service(
         fmt::format("desk-{}", *version % Monitor::kMovingServices));
   }
+  if (m_table.teams_size() != 0) {
+    m_table.mutable_teams(0)->set_keys(1, Monitor::MakeKey(*version));
+  }
   return m_protocol->m_encode_table(m_table);
 }
 
@@ -331,6 +353,16 @@
   return false;
 }
 
+void AddSoakTeam(gen::RouteTable *table) {
+  gen::Team *team = table->add_teams();
+  team->set_name(Monitor::kTeam);
+  team->add_keys(Monitor::MakeKey(Monitor::kLastingKey));
+  team->add_keys("");  // that of the version
+  for (gen::Route &route : *table->mutable_routes()) {
+    if (route.path_prefix() == kPublicPath) route.set_is_public(true);
+  }
+}
+
 gen::RouteTable MakeSoakTable(const std::vector<std::string> &models,
                               double model_mb, double runner_mb,
                               std::uint32_t adapter_slots,
--- a/soak/client.h
+++ b/soak/client.h
@@ -86,6 +86,7 @@
   void RefreshAddresses();
   int ChooseEntry();
   CallerRequest MakeRandomRequest(RequestRecord *record);
+  void AddKey(CallerRequest *request, RequestRecord *record);
   void Send();
 
   CallerOptions m_options;
@@ -134,6 +135,9 @@
   gen::RouteTable m_table;
 };
 
+/** Adds a team to a table and makes /move/ public. */
+void AddSoakTeam(gen::RouteTable *table);
+
 /** @return the first table of a soak, without a version. */
 gen::RouteTable MakeSoakTable(const std::vector<std::string> &models,
                               double model_mb, double runner_mb,
--- a/soak/monitor.cpp
+++ b/soak/monitor.cpp
@@ -27,9 +27,14 @@
  */
 constexpr double kEarlyFailureShare = 0.7;
 constexpr std::size_t kMaxLoggedViolations = 50;
+/** Part of each key, and of nothing else that callers send. */
+constexpr const char *kKeyPrefix = "secret-key-";
+/** Callers use keys of so many versions, most of them revoked. */
+constexpr std::size_t kUsedKeys = 8;
 
 bool IsGuaranteedNotRun(int status) {
-  return status == 503 || status == 429 || status == 408 || status == 421;
+  return status == 503 || status == 429 || status == 408 || status == 421 ||
+         status == 401;
 }
 
 bool IsSuccess(int status) { return status >= 200 && status < 300; }
@@ -152,6 +157,51 @@
                   forwarded.m_id, request.m_target, forwarded.m_model));
 }
 
+std::string Monitor::MakeKey(std::uint64_t version) {
+  return kKeyPrefix + std::to_string(version);
+}
+
+std::uint64_t Monitor::ChooseKeyVersion(std::uint64_t draw) const {
+  auto used = static_cast<std::uint64_t>(std::min(m_tables.size(), kUsedKeys));
+  if (used == 0) return kLastingKey;
+  auto found = m_tables.rbegin();
+  std::advance(found, static_cast<std::ptrdiff_t>(draw % used));
+  return found->first;
+}
+
+/** Checks that a request that runs has a key that could still be in force, and
+ * that its runner is told the team only. */
+void Monitor::CheckKey(const RequestRecord &record,
+                       const ForwardedRequest &forwarded,
+                       const net::HttpRequest &request) {
+  if (!m_has_teams) return;
+  for (const net::HttpHeader &header : request.m_headers.m_items) {
+    if (header.m_value.find(kKeyPrefix) == std::string::npos) continue;
+    ReportViolation("secret keys", "request " + forwarded.m_id +
+                                       " reached an upstream with its key");
+  }
+  if (forwarded.m_team != record.m_team) {
+    ReportViolation(
+        "teams", fmt::format("request {} on {} reached an upstream for team "
+                             "\"{}\"",
+                             forwarded.m_id, record.m_path, forwarded.m_team));
+  }
+  if (record.m_key_version == kLastingKey) return;
+  ++m_counts["runs_with_passing_keys"];
+  for (const auto &[version, table] : m_tables) {
+    if (version <= record.m_key_version || !table.m_acknowledged_at) continue;
+    base::Duration late = record.m_sent_at - *table.m_acknowledged_at;
+    if (late <= m_bounds.m_revocation_time) continue;
+    ReportViolation(
+        "revoked keys",
+        fmt::format("request {} with the key of table {} ran at entry host {} "
+                    "though it was sent {} ms after table {} was acknowledged",
+                    forwarded.m_id, record.m_key_version, record.m_entry,
+                    base::ToMilliseconds(late), version));
+    return;
+  }
+}
+
 void Monitor::RecordPromptCrash() {
   ++m_counts["prompt_crashes"];
   m_prompt_crashes.push_back(Clock::now());
@@ -252,6 +302,7 @@
   }
   RequestRecord &record = found->second;
   CheckForwardedRequest(record, forwarded, request);
+  CheckKey(record, forwarded, request);
   record.m_has_arrived = true;
   record.m_signatures.push_back(signature);
   if (!record.m_is_repeatable && record.m_signatures.size() > 1) {
@@ -355,6 +406,11 @@
     }
     return;
   }
+  if (answer.m_status == 401 && record.m_key_version == kLastingKey) {
+    ReportViolation("known keys", "request " + id +
+                                      " was refused though its key is in "
+                                      "all tables");
+  }
   if (IsEarlyFailure(record, answer.m_status)) {
     // These statuses say that an upstream may have got it.
     record.m_has_arrived = true;
--- a/soak/monitor.h
+++ b/soak/monitor.h
@@ -28,6 +28,8 @@
   /** From the fifth crash under one prompt part, or the third under one
    * request, until its requests end. */
   base::milliseconds m_quarantine_time{4'000};
+  /** From acknowledged until a key that the table removed works nowhere. */
+  base::milliseconds m_revocation_time{2'500};
   int m_max_late_crashing_prompts = 3;
   int m_max_late_crashing_requests = 3;  ///< for each request
   /** For which sound requests may be refused in a row as crashing ones. */
@@ -47,6 +49,10 @@
   std::string m_path;
   std::string m_model;
   std::string m_body;
+  std::string m_team;  ///< that runners must be told, "": none
+  /** Version of the table whose key it has; kLastingKey: the key that no table
+   * removes, or none. */
+  std::uint64_t m_key_version = 0;
   bool m_is_repeatable = false;
   bool m_is_stream = false;
   bool m_has_crashing_part = false;
@@ -163,6 +169,16 @@
   void RecordReadTable(const std::string &document,
                        std::uint64_t acknowledged_before);
 
+  // Keys. Where tables have teams, version V gives team kTeam the keys of
+  // kLastingKey and of V.
+
+  static constexpr const char *kTeam = "red";
+  static constexpr std::uint64_t kLastingKey = 0;
+  bool m_has_teams = false;
+  static std::string MakeKey(std::uint64_t version);
+  /** @return one of the versions that were sent last, or kLastingKey. */
+  std::uint64_t ChooseKeyVersion(std::uint64_t draw) const;
+
   // Orders.
 
   /** What a runner holds or loads. */
@@ -203,6 +219,8 @@
                      base::TimePoint now) const;
   bool IsUndisturbed(const std::vector<Interval> &list, base::TimePoint from,
                      base::TimePoint until) const;
+  void CheckKey(const RequestRecord &record, const ForwardedRequest &forwarded,
+                const net::HttpRequest &request);
   void CheckMovingRoute(const RequestRecord &record, std::uint64_t service);
   void CheckForwardedRequest(const RequestRecord &record,
                              const ForwardedRequest &forwarded,
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -319,6 +319,7 @@
   SoakPlan plan;
   plan.m_seed = seed;
   plan.m_duration = duration;
+  plan.m_has_teams = seed % 2 == 1;
   milliseconds at(500);
   milliseconds changes_from(200);
   milliseconds first_phase_end = AddFirstPhase(&random, &plan);
--- a/soak/plan_type.h
+++ b/soak/plan_type.h
@@ -63,6 +63,8 @@
 struct SoakPlan {
   std::uint64_t m_seed = 0;
   base::milliseconds m_duration{0};
+  /** Whether tables declare teams, each version with another key. */
+  bool m_has_teams = false;
   int m_desk_runners = 1;  ///< of service desk-0, which has no models
   /** Setting retry_slack of the programs. */
   double m_retry_slack = 50;
--- a/soak/protocol_type.h
+++ b/soak/protocol_type.h
@@ -22,6 +22,7 @@
   std::uint32_t m_prompt_tokens = 0;
   std::vector<std::string> m_prompt_parts;  ///< IDs; the last is its own
   std::uint32_t m_output_tokens = 0;
+  std::string m_key;  ///< of a team; "": none
   base::milliseconds m_caller_timeout{0};
   std::string m_body;
 };
@@ -31,6 +32,7 @@
   std::string m_id;
   std::string m_expected_upstream;  ///< "": any
   std::string m_model;
+  std::string m_team;                            ///< "": none
   std::vector<std::string> m_prompt_parts;       ///< IDs
   std::optional<std::uint64_t> m_last_event_id;  ///< a stream resumes after it
 };
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -86,10 +86,13 @@
   }
   MakeHosts();
   MakeRunners();
-  m_operator = std::make_unique<Operator>(
-      m_options.m_plan.m_seed, &m_addresses, m_protocol, &m_monitor,
-      MakeSoakTable(m_models, kModelMb, kRunnerMb, kAdapterSlots, kAdapters,
-                    kLoadsPerSecond));
+  gen::RouteTable table = MakeSoakTable(
+      m_models, kModelMb, kRunnerMb, kAdapterSlots, kAdapters, kLoadsPerSecond);
+  m_monitor.m_has_teams = m_options.m_plan.m_has_teams;
+  if (m_monitor.m_has_teams) AddSoakTeam(&table);
+  m_operator =
+      std::make_unique<Operator>(m_options.m_plan.m_seed, &m_addresses,
+                                 m_protocol, &m_monitor, std::move(table));
 }
 
 /** @return a loopback address that depends on the process ID, so that soaks
@@ -190,6 +193,10 @@
        << "\n[bounds]\nheartbeat_ms = 1000ms\ngrace_ms = "
        << kShutdownGrace.count()
        << "ms\nretry_slack = " << m_options.m_plan.m_retry_slack << "\n";
+  if (m_options.m_plan.m_has_teams) {
+    file << "strict_revocation = true\nrevocation_ms = "
+         << MakeBounds().m_revocation_time.count() << "ms\n";
+  }
   if (host.m_is_entry) {
     file << "[callers]\nlisten = " << host.m_ip << ":" << kCallersPort
          << "\ndirectory = " << host.m_ip << ":" << kDirectoryPort
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -253,6 +253,62 @@
   EXPECT_EQ(GetViolatedGuarantees(), "");
 }
 
+/** Runs a request with a key at an upstream.
+ * @param sent_after the acknowledgement of table 2
+ * @return the violated guarantees */
+std::string RunWithKey(std::uint64_t key_version, milliseconds sent_after,
+                       const std::string &team, const std::string &credential) {
+  Monitor monitor(SoakBounds(), 1);
+  monitor.m_has_teams = true;
+  monitor.RecordSentTable(1, "one");
+  monitor.RecordAcknowledgedTable(1);
+  monitor.RecordSentTable(2, "two");
+  monitor.RecordAcknowledgedTable(2);
+  RequestRecord record;
+  record.m_path = "/safe/";
+  record.m_team = Monitor::kTeam;
+  record.m_is_repeatable = true;
+  record.m_key_version = key_version;
+  record.m_sent_at = base::Clock::now() + sent_after;
+  monitor.RecordRequest("r", record);
+  net::HttpRequest request;
+  request.m_target = "/safe/";
+  request.m_headers.Add("Authorization", credential);
+  ForwardedRequest forwarded;
+  forwarded.m_id = "r";
+  forwarded.m_team = team;
+  monitor.RecordExecution("desk-0", kSignature, forwarded, request);
+  std::string all;
+  for (const std::string &violation : monitor.GetViolations()) {
+    all += violation.substr(0, violation.find(':')) + ";";
+  }
+  return all;
+}
+
+TEST(MonitorKeyTest, CatchesRunsUnderKeysRevokedLongerThanTheBound) {
+  milliseconds bound = SoakBounds().m_revocation_time;
+  milliseconds late = bound + milliseconds(1);
+  EXPECT_EQ(RunWithKey(1, bound - milliseconds(200), "red", ""), "");
+  EXPECT_EQ(RunWithKey(1, late, "red", ""), "revoked keys;");
+  EXPECT_EQ(RunWithKey(2, late, "red", ""), "");
+  EXPECT_EQ(RunWithKey(Monitor::kLastingKey, late, "red", ""), "");
+}
+
+TEST(MonitorKeyTest, CatchesKeysAndWrongTeamsAtRunners) {
+  milliseconds now(0);
+  EXPECT_EQ(RunWithKey(2, now, "red", "Bearer " + Monitor::MakeKey(2)),
+            "secret keys;");
+  EXPECT_EQ(RunWithKey(2, now, "forged", ""), "teams;");
+  EXPECT_EQ(RunWithKey(2, now, "", ""), "teams;");
+}
+
+TEST_F(MonitorTest, CatchesARefusalOfAKeyInAllTables) {
+  m_monitor.m_has_teams = true;
+  Send("r", "/safe/", true);
+  Answer("r", 401, "", "");
+  EXPECT_EQ(GetViolatedGuarantees(), "known keys;");
+}
+
 TEST_F(MonitorTest, CatchesASecondRun) {
   Send("r", "/once/", false);
   RunAt("r", "/once/", "desk-0");
