Keep confirmations of all tables that are still to come

While tables changed faster than a host queried and each came later than one query, the latest answer was always about a table that the host didn't have yet, and replaced the one that was. The host was never confirmed and would have refused all keys during a series of changes. The last 16 such answers are kept now.

--- a/src/fleet/freshness.cpp
+++ b/src/fleet/freshness.cpp
@@ -49,7 +49,13 @@
   if (!state->m_newest || confirmation.m_at > state->m_newest->m_at) {
     state->m_newest = confirmation;
   }
-  if (confirmation.m_version > own_version) return;
+  if (confirmation.m_version > own_version) {
+    state->m_pending.push_back(confirmation);
+    if (state->m_pending.size() > kMaxPendingConfirmations) {
+      state->m_pending.pop_front();
+    }
+    return;
+  }
   state->m_own_confirmed_at = std::max(
       state->m_own_confirmed_at.value_or(confirmation.m_at), confirmation.m_at);
 }
@@ -75,8 +81,10 @@
 }
 
 void HandleAdoptedTable(FreshnessState *state, std::uint64_t own_version) {
-  if (state->m_newest) {
-    RecordConfirmation(state, *state->m_newest, own_version);
+  std::deque<Confirmation> pending;
+  pending.swap(state->m_pending);
+  for (const Confirmation &confirmation : pending) {
+    RecordConfirmation(state, confirmation, own_version);
   }
 }
 
--- a/src/fleet/freshness_func.h
+++ b/src/fleet/freshness_func.h
@@ -47,6 +47,10 @@
   base::TimePoint m_answered_at;
   std::size_t m_asked_count = 0;         ///< rotates over the other hosts
   std::optional<Confirmation> m_newest;  ///< the one with the latest time
+  /** Those of tables that this host doesn't have yet, by time of arrival. Each
+   * is kept: while tables change quickly, the latest one is about a table that
+   * is still to come. Bounded. */
+  std::deque<Confirmation> m_pending;
   /** Latest time at which this host's own table was the newest. */
   std::optional<base::TimePoint> m_own_confirmed_at;
 };
@@ -60,6 +64,7 @@
  * younger than this. */
 inline constexpr base::milliseconds kFreshnessSilence{1'000};
 inline constexpr std::size_t kMaxSentFreshnessQueries = 16;
+inline constexpr std::size_t kMaxPendingConfirmations = 16;
 /** Share of the revocation time for which a key is accepted after the last
  * confirmation. The rest covers clocks that run at different rates. */
 inline constexpr double kRevocationShare = 0.9;
--- a/tests/fleet_freshness_test.cpp
+++ b/tests/fleet_freshness_test.cpp
@@ -475,6 +475,40 @@
   EXPECT_NE(Explore(Fault::kConfirmNoQuorum, 300), "");
 }
 
+// While tables change faster than queries are made, each answer is about a
+// newer table than the host has, and replaced the one before it.
+TEST(FleetFreshnessTest, TablesThatComeLateAreConfirmedByEarlierAnswers) {
+  static constexpr milliseconds kChangePeriod{150};
+  for (milliseconds lag :
+       {milliseconds(100), milliseconds(600), milliseconds(1'500)}) {
+    fleet::FreshnessState state;
+    base::TimePoint start{seconds(1'000)};
+    auto get_version = [start](base::TimePoint at) {
+      return static_cast<std::uint64_t>((at - start) / kChangePeriod);
+    };
+    std::uint64_t own = 0;
+    for (milliseconds at(2'000); at < seconds(20); at += milliseconds(10)) {
+      base::TimePoint now = start + at;
+      std::uint64_t version = get_version(now - lag);
+      if (version != own) fleet::HandleAdoptedTable(&state, own = version);
+      for (const fleet::OutMessage &out : fleet::TickFreshness(
+               &state, "c", {}, fleet::kEntryFreshnessPeriod, now)) {
+        gen::FreshnessAnswer answer;
+        answer.set_number(out.m_message.freshness_query().number());
+        answer.set_routes_version(get_version(now));
+        (void)fleet::HandleFreshnessAnswer(&state, answer, own, now);
+      }
+      if (at < seconds(5)) continue;
+      milliseconds expected = lag + 2 * fleet::kEntryFreshnessPeriod;
+      ASSERT_TRUE(state.m_own_confirmed_at) << lag.count();
+      EXPECT_LT(now - *state.m_own_confirmed_at, expected) << lag.count();
+      // The host's table was no longer the newest after this time.
+      base::TimePoint replaced_at = start + (own + 1) * kChangePeriod;
+      ASSERT_LT(*state.m_own_confirmed_at, replaced_at) << lag.count();
+    }
+  }
+}
+
 // A control host without a way to the leader kept its followers from querying
 // others, as it went on answering, with ages that grew.
 TEST(FleetFreshnessTest, OtherControlHostsAreQueriedIfTheFollowedOneIsBehind) {
