--- a/tests/fleet_freshness_test.cpp
+++ b/tests/fleet_freshness_test.cpp
@@ -377,6 +377,7 @@
       entry.m_heard_at = m_now;
     }
     std::vector<std::string> controls;
+    controls.reserve(kControlCount);
     for (int i = 0; i < kControlCount; ++i) {
       controls.push_back("control" + std::to_string(i));
     }
