Tell the fuzz of quotas that a leader is known

The queries of quotas got an argument that says whether credit can be requested, and the fuzz of their messages, merged beside it, lacked it, so that it didn't build.

--- a/fuzz/platform_decoders_fuzz.cpp
+++ b/fuzz/platform_decoders_fuzz.cpp
@@ -221,7 +221,7 @@
   const gen::Team *known =
       team == hosts->m_teams.end() ? nullptr : team->second;
   if (message.has_quota_query()) {
-    quota::HandleQuotaQuery(holder, "e1", query, known, hosts->m_now);
+    quota::HandleQuotaQuery(holder, "e1", query, known, true, hosts->m_now);
   }
   if (message.has_quota_refund()) {
     quota::HandleQuotaRefund(holder, message.quota_refund(), known,
