--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -204,12 +204,9 @@
 
 }  // namespace
 
-std::vector<fleet::OutMessage> HandleQuotaQuery(CreditHolder *holder,
-                                                const std::string &from,
-                                                const gen::QuotaQuery &query,
-                                                const gen::Team *team,
-                                                bool knows_leader,
-                                                base::TimePoint now) {
+std::vector<fleet::OutMessage> HandleQuotaQuery(
+    CreditHolder *holder, const std::string &from, const gen::QuotaQuery &query,
+    const gen::Team *team, bool knows_leader, base::TimePoint now) {
   // A host that has just started may lack the table, so it can't tell whether
   // the team has a quota.
   bool is_chargeable = team != nullptr && IsValidAmount(query.cost());
--- a/src/quota/credit_holder_func.h
+++ b/src/quota/credit_holder_func.h
@@ -90,12 +90,9 @@
  *        needs it is declined, so that another host is asked
  * @return answers that are due; none while the query waits for the leader
  */
-std::vector<fleet::OutMessage> HandleQuotaQuery(CreditHolder *holder,
-                                                const std::string &from,
-                                                const gen::QuotaQuery &query,
-                                                const gen::Team *team,
-                                                bool knows_leader,
-                                                base::TimePoint now);
+std::vector<fleet::OutMessage> HandleQuotaQuery(
+    CreditHolder *holder, const std::string &from, const gen::QuotaQuery &query,
+    const gen::Team *team, bool knows_leader, base::TimePoint now);
 
 /** Takes back credit of a request that didn't run. */
 void HandleQuotaRefund(CreditHolder *holder, const gen::QuotaRefund &refund,
