Mend what a newcomer's read of the quotas found

A reader new to the project found: a unit of a quota with a typing error counted as requests; Retry-After ignored the size of a request, and one that no bucket can hold had the team's small requests refused too; a team that left the table kept its state for ever; credit was lost beyond 64 lots; each query searched all sent requests; a wait that a deadline cut short counted as silence of a control host; a host's wait for its first confirmation ended with the wait for its table.

--- a/src/fleet_control/quota_service.cpp
+++ b/src/fleet_control/quota_service.cpp
@@ -14,8 +14,7 @@
 void CountCredit(const char *outcome, int count) {
   if (count == 0) return;
   base::GetCounter("ww_quota_credit_total",
-                   "Amounts of credit that control hosts requested of this "
-                   "leader, by outcome",
+                   "Requests for credit that this leader decided, by outcome",
                    {{"outcome", outcome}})
       .Increment(count);
 }
@@ -34,6 +33,7 @@
     m_teams[team.name()] = &team;
   }
   quota::SetQuotas(&m_buckets, m_routes->m_table, m_settings, now);
+  SendAll(quota::SetTeams(&m_holder, m_teams));
 }
 
 const gen::Team *QuotaService::FindTeam(const std::string &name) const {
--- a/src/fleet_control/quota_service.h
+++ b/src/fleet_control/quota_service.h
@@ -32,15 +32,20 @@
 
   QuotaService(quota::QuotaSettings settings, Hooks hooks);
 
-  /** Takes over the teams of a new route table. */
+  /** Takes over the teams of a new route table. Until the first one, no team is
+   * known. */
   void HandleNewTable(base::TimePoint now);
 
+  /** Answers a query of an entry host, at once or when there is credit. */
   void HandleQuery(const std::string &from, const gen::QuotaQuery &query,
                    base::TimePoint now);
+  /** Takes back the credit of a request that certainly didn't run. */
   void HandleRefund(const gen::QuotaRefund &refund);
+  /** Grants credit; ignored while this host doesn't hold the lease. */
   void HandleCreditRequest(const std::string &from,
                            const gen::CreditRequest &request,
                            base::TimePoint now);
+  /** Handles the leader's answer to this host's request. */
   void HandleGrant(const gen::CreditGrant &grant, base::TimePoint now);
 
   /** Sends the requests that are due. Called at least every 100 ms. */
@@ -58,7 +63,7 @@
 
   quota::QuotaSettings m_settings;
   Hooks m_hooks;
-  routes::RouteIndexPtr m_routes;  ///< owns m_teams
+  routes::RouteIndexPtr m_routes;  ///< owns what m_teams points to
   std::map<std::string, const gen::Team *> m_teams;
   quota::CreditHolder m_holder;
   quota::TeamBuckets m_buckets;
--- a/src/gateway/caller_access.cpp
+++ b/src/gateway/caller_access.cpp
@@ -39,9 +39,10 @@
                                     *scope->m_metadata.m_caller_timeout *
                                     kConfirmationWaitShare));
   }
-  base::TimePoint end = scope->m_started_at + longest;
   base::TimePoint now = base::Clock::now();
-  while (now < end && !IsTableConfirmed(now) && !m_is_stopped) {
+  base::TimePoint end = now + longest;
+  while (now < end && !IsTableConfirmed(now) && !m_is_stopped &&
+         !scope->m_exchange->IsPeerGone()) {
     std::unique_lock<boost::fibers::mutex> lock(m_mutex);
     m_view_changed.wait_until(lock,
                               std::min(end, now + kConfirmationPollPeriod));
--- a/src/gateway/team_charge.cpp
+++ b/src/gateway/team_charge.cpp
@@ -137,6 +137,7 @@
       charge->m_last_asked = host;
       m_sender(host, MakeQuery(*scope, charge->m_number, end - now));
     }
+    base::TimePoint asked_at = now;
     if (host.empty()) charge->m_asked.clear();
     WaitForCharge(*charge, std::min(end, now + (host.empty() ? kAskAllAgainAfter
                                                              : kAskNextAfter)));
@@ -145,7 +146,9 @@
     }
     now = base::Clock::now();
     // A host that can't tell, as one without a table, is avoided as well.
-    bool is_silent = !host.empty() && !charge->m_is_pending &&
+    // A wait that the caller's deadline cut short says nothing about a host.
+    bool had_time = charge->m_is_declined || now >= asked_at + kAskNextAfter;
+    bool is_silent = !host.empty() && had_time && !charge->m_is_pending &&
                      charge->m_outcome == gen::QUOTA_UNKNOWN;
     if (is_silent) quota::RecordSilentHost(&m_charge_hosts, host, now);
   }
--- a/src/quota/charge_func.h
+++ b/src/quota/charge_func.h
@@ -33,7 +33,7 @@
                              const std::set<std::string> &asked,
                              std::uint64_t spread, base::TimePoint now);
 
-/** Records that a host didn't answer in time. */
+/** Records that a host didn't answer in time, or couldn't tell. */
 void RecordSilentHost(ChargeHosts *hosts, const std::string &host,
                       base::TimePoint now);
 
--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "quota/credit_holder_func.h"
+#include "quota/team_bucket_func.h"
 
 namespace wasabiwind::quota {
 
@@ -104,12 +105,7 @@
                     TeamCreditState *state, SentCreditRequest *request,
                     base::TimePoint now) {
   for (WaitingQuery &query : state->m_waiting) {
-    bool is_asked =
-        std::any_of(holder->m_sent.begin(), holder->m_sent.end(),
-                    [&query](const SentCreditRequest &sent) {
-                      return sent.m_number == query.m_credit_request;
-                    });
-    if (is_asked || now < query.m_ask_at) continue;
+    if (query.m_credit_request != 0 || now < query.m_ask_at) continue;
     query.m_credit_request = request->m_number;
     request->m_wanted.push_back(
         WantedCredit{name, query.m_cost, query.m_number, query.m_from});
@@ -202,8 +198,36 @@
   return answer;
 }
 
+/** Lets the queries of a credit request be asked for again. */
+void ForgetCreditRequest(CreditHolder *holder, std::uint64_t number) {
+  for (auto &[name, state] : holder->m_teams) {
+    for (WaitingQuery &query : state.m_waiting) {
+      if (query.m_credit_request == number) query.m_credit_request = 0;
+    }
+  }
+}
+
 }  // namespace
 
+std::vector<fleet::OutMessage> SetTeams(
+    CreditHolder *holder,
+    const std::map<std::string, const gen::Team *> &table) {
+  std::vector<fleet::OutMessage> answers;
+  std::erase_if(holder->m_teams, [&](const auto &item) {
+    auto team = table.find(item.first);
+    bool is_declared = team != table.end();
+    if (is_declared && HasQuota(*team->second)) return false;
+    for (const WaitingQuery &query : item.second.m_waiting) {
+      answers.push_back(MakeAnswer(
+          query.m_from, query.m_number,
+          is_declared ? gen::QUOTA_CHARGED : gen::QUOTA_UNKNOWN, {}));
+      --holder->m_waiting_count;
+    }
+    return true;
+  });
+  return answers;
+}
+
 std::vector<fleet::OutMessage> HandleQuotaQuery(
     CreditHolder *holder, const std::string &from, const gen::QuotaQuery &query,
     const gen::Team *team, bool knows_leader, base::TimePoint now) {
@@ -304,6 +328,10 @@
   }
   holder->m_last_number = sent.m_number;
   if (!sent.m_wanted.empty()) holder->m_sent.push_back(std::move(sent));
+  if (holder->m_sent.size() > kMaxSentCreditRequests) {
+    ForgetCreditRequest(holder, holder->m_sent.front().m_number);
+    holder->m_sent.pop_front();
+  }
   return request;
 }
 
@@ -334,7 +362,10 @@
     TeamCreditState &state = holder->m_teams[wanted.m_team];
     bool is_granted = credit.amount() >= wanted.m_amount;
     base::milliseconds retry_after(credit.retry_after_ms());
-    if (!is_granted && wanted.m_query != 0) {
+    // A request that no bucket can hold says nothing about smaller ones.
+    bool is_used_up =
+        !is_granted && wanted.m_query != 0 && retry_after < kMaxRetryAfter;
+    if (is_used_up) {
       state.m_exhausted_until =
           now + std::min<base::milliseconds>(retry_after, kMaxExhaustedPause);
     }
@@ -342,6 +373,8 @@
       bool has_room = state.m_lots.size() < kMaxCreditLots;
       if (is_granted && has_room) {
         AddLot(&state, CreditLot{wanted.m_amount, expires_at});
+      } else if (is_granted) {
+        state.m_returned += wanted.m_amount;
       }
     } else if (WaitingQuery *query =
                    FindWaiting(holder, wanted, request.m_number)) {
@@ -352,6 +385,7 @@
       state.m_returned += wanted.m_amount;
     }
   }
+  ForgetCreditRequest(holder, request.m_number);
   return answers;
 }
 
@@ -360,6 +394,7 @@
   std::vector<fleet::OutMessage> answers;
   while (!holder->m_sent.empty() &&
          now >= holder->m_sent.front().m_sent_at + kCreditRequestTimeout) {
+    ForgetCreditRequest(holder, holder->m_sent.front().m_number);
     holder->m_sent.pop_front();
   }
   for (auto &[name, state] : holder->m_teams) {
--- a/src/quota/credit_holder_func.h
+++ b/src/quota/credit_holder_func.h
@@ -65,18 +65,22 @@
   std::vector<WantedCredit> m_wanted;  ///< in the order of the message
 };
 
-/** Not thread-safe. Bounded by the declared teams and the constants below. */
+/** Not thread-safe. Bounded by the declared teams, see SetTeams, and the
+ * constants below. */
 struct CreditHolder {
   std::map<std::string, TeamCreditState> m_teams;
   std::deque<SentCreditRequest> m_sent;  ///< oldest first
   /** Begins at a random number, see fleet::FreshnessState. */
   std::uint64_t m_last_number = 0;
   std::size_t m_waiting_count = 0;
-  bool m_is_request_urgent = false;  ///< a query waits that wasn't asked for
+  bool m_is_request_urgent = false;  ///< a query waits and wasn't asked for
 };
 
 inline constexpr std::size_t kMaxWaitingQueries = 1'024;
-inline constexpr std::size_t kMaxCreditLots = 64;  ///< of a team
+/** Of a team. A lot lives for a second at most, and requests are sent some ten
+ * times a second. */
+inline constexpr std::size_t kMaxCreditLots = 64;
+inline constexpr std::size_t kMaxSentCreditRequests = 256;
 /** A request to the leader without an answer is repeated after this long. */
 inline constexpr base::milliseconds kCreditRequestTimeout{300};
 /** While the leader refuses, a team's queries are refused without asking it for
@@ -84,8 +88,18 @@
 inline constexpr base::milliseconds kMaxExhaustedPause{200};
 
 /**
- * Handles a query.
- * @param team declared team of the query; nullptr if this host's table lacks it
+ * Forgets teams that are no longer declared or limited.
+ * @param table with the declared teams, by name
+ * @return answers to the queries of these teams
+ */
+std::vector<fleet::OutMessage> SetTeams(
+    CreditHolder *holder,
+    const std::map<std::string, const gen::Team *> &table);
+
+/**
+ * Handles a query. Sets m_is_request_urgent if the leader has to be asked.
+ * @param team declared team of the query; nullptr if this host's table lacks
+ *        it. Isn't kept
  * @param knows_leader whether credit can be requested now. If not, a query that
  *        needs it is declined, so that another host is asked
  * @return answers that are due; none while the query waits for the leader
--- a/src/quota/team_bucket.cpp
+++ b/src/quota/team_bucket.cpp
@@ -11,8 +11,6 @@
 
 /** A team without credit is asked to wait at least this long. */
 constexpr base::milliseconds kMinRetryAfter{100};
-/** A team whose rate is tiny is asked to return after this at the latest. */
-constexpr base::milliseconds kMaxRetryAfter{60'000};
 
 /** @return the bucket of a team with its level at a time, or nullptr. */
 TeamBucket *FillBucket(TeamBuckets *buckets, const std::string &team,
@@ -29,8 +27,11 @@
   return bucket;
 }
 
-base::milliseconds GetRetryAfter(const TeamBucket &bucket) {
-  double wait_ms = 1'000 * std::max(0.0, -bucket.m_level) / bucket.m_rate;
+/** @return the time until the bucket has reached a level. */
+base::milliseconds GetRetryAfter(const TeamBucket &bucket, double needed) {
+  if (needed > bucket.m_burst) return kMaxRetryAfter;
+  double wait_ms =
+      1'000 * std::max(0.0, needed - bucket.m_level) / bucket.m_rate;
   auto longest = static_cast<double>(kMaxRetryAfter.count());
   return std::max(kMinRetryAfter, base::milliseconds(static_cast<std::int64_t>(
                                       std::min(wait_ms, longest))));
@@ -54,9 +55,9 @@
     if (!HasQuota(team)) continue;
     TeamBucket &bucket = teams[team.name()];
     bucket.m_filled_at = now;
-    if (const TeamBucket *known = FillBucket(buckets, team.name(), now)) {
-      bucket.m_level = known->m_level;
-    }
+    const TeamBucket *known = FillBucket(buckets, team.name(), now);
+    bucket.m_level =
+        known != nullptr ? known->m_level : GetTermCredit(team, settings);
     bucket.m_rate = team.rate_per_second();
     bucket.m_burst = GetBurst(team, settings);
     bucket.m_level = std::min(bucket.m_level, bucket.m_burst);
@@ -86,7 +87,9 @@
   if (result.m_is_granted) {
     bucket->m_level -= amount;
   } else {
-    result.m_retry_after = GetRetryAfter(*bucket);
+    double needed =
+        may_owe ? std::max(0.0, amount - bucket->m_max_debt) : amount;
+    result.m_retry_after = GetRetryAfter(*bucket, needed);
   }
   return result;
 }
--- a/src/quota/team_bucket_func.h
+++ b/src/quota/team_bucket_func.h
@@ -1,8 +1,9 @@
 /** @file team_bucket_func.h Credit of all teams, at the leader of the control
  * hosts.
  *
- * Answers the load of a team that sends more than its quota: what is granted in
- * any time t is at most rate * t + burst, and one request in debt.
+ * Answers the load of a team that sends more than its quota: what one leader
+ * grants in any time t is at most rate * t and the size of the bucket, one
+ * request in debt, and all further attempts, which are never refused.
  */
 
 #ifndef WASABIWIND_QUOTA_TEAM_BUCKET_FUNC_H_
@@ -42,10 +43,14 @@
 void SetQuotas(TeamBuckets *buckets, const gen::RouteTable &table,
                const QuotaSettings &settings, base::TimePoint now);
 
+/** Longest time that a refused team is asked to wait, also for a request that
+ * no bucket can ever hold. */
+inline constexpr base::milliseconds kMaxRetryAfter{60'000};
+
 /** Result of a request for credit. */
 struct GrantResult {
   bool m_is_granted = false;
-  base::milliseconds m_retry_after{0};  ///< until there is credit again
+  base::milliseconds m_retry_after{0};  ///< until there is as much credit
 };
 
 /**
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -130,6 +130,20 @@
   EXPECT_EQ(DecodeTable(kTableDocument)->teams_size(), 0);
 }
 
+// A unit with a typing error would turn a quota of tokens into one of as many
+// requests.
+TEST(TableCodecTest, RefusesUnknownUnitsOfQuotas) {
+  for (const char *unit :
+       {"\"generates\"", "\"tokens\"", "\"\"", "1", "null"}) {
+    std::string document = kTeams;
+    std::size_t at = document.find("\"generate\"");
+    document.replace(at, std::string("\"generate\"").size(), unit);
+    base::Result<gen::RouteTable> table = DecodeTable(document);
+    ASSERT_FALSE(table) << unit;
+    EXPECT_FALSE(table.error().m_remedy.empty());
+  }
+}
+
 // A malformed team that is skipped would lock its callers out, or leave them
 // without a limit. Errors are logged and sent back, so that they must not
 // contain keys.
