Free the buffers of idle connections, and bound the wait for a runner's queue

The wait for a runner's queue could take twice its maximum by the jitter and pass the end of the request's wait; it is bounded after the jitter. An unused parameter and four initializers that the compiler warned of are gone. net_http_test, memory_budget_test, quota_holder_test, gateway_request_test and the tests of callers without limits pass.

--- a/src/gateway/gateway_load.cpp
+++ b/src/gateway/gateway_load.cpp
@@ -126,14 +126,14 @@
   bool may_wait = choice.m_hold > base::Duration(0) && !m_is_refusing &&
                   start < GetWaitEnd(*scope);
   if (!may_wait) return false;
-  base::Duration pause =
-      std::clamp<base::Duration>(choice.m_hold, kMinQueueWait, kMaxQueueWait);
   // Requests that wait for the same runner shouldn't ask again all at once.
   double jitter =
       static_cast<double>((scope->m_request_hash ^ m_last_load_query) % 64) /
       64;
-  net::SleepFor(
-      std::chrono::duration_cast<base::Duration>(pause * (1 + jitter)));
+  auto pause = std::clamp<base::Duration>(
+      std::chrono::duration_cast<base::Duration>(choice.m_hold * (1 + jitter)),
+      kMinQueueWait, kMaxQueueWait);
+  net::SleepFor(std::min(pause, GetWaitEnd(*scope) - start));
   scope->m_wait_time += base::Clock::now() - start;
   base::GetCounter("ww_runner_queue_waits_total",
                    "Waits of requests until a runner has read other prompts",
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -46,8 +46,6 @@
 constexpr base::milliseconds kAcceptRetryDelay{50};
 /** How long a stopping server waits for the first request of a connection. */
 constexpr base::milliseconds kFirstRequestGrace{100};
-/** Connections keep larger buffers only while they receive. */
-constexpr std::size_t kMaxKeptBufferBytes = 32 * 1024;
 /** A header at its bound, with the overhead of its fields, and buffers. */
 constexpr std::size_t kHeldBesideBody = 4 * 1024 * 1024;
 constexpr const char *kMemoryFullReason = "memory_full";
@@ -522,7 +520,7 @@
     request = ConvertRequest(&*parser);
   }
   parser.reset();
-  if (connection->m_buffer.capacity() > kMaxKeptBufferBytes) {
+  if (connection->m_buffer.capacity() > kIdleBufferBytes) {
     connection->m_buffer.shrink_to_fit();
   }
   if (request && !BeginServing(&thread->m_budget, connection->m_id,
--- a/src/quota/credit_holder.cpp
+++ b/src/quota/credit_holder.cpp
@@ -101,9 +101,8 @@
 }
 
 /** Adds the amounts that the waiting queries of a team need. */
-void WantForWaiting(CreditHolder *holder, const std::string &name,
-                    TeamCreditState *state, SentCreditRequest *request,
-                    base::TimePoint now) {
+void WantForWaiting(const std::string &name, TeamCreditState *state,
+                    SentCreditRequest *request, base::TimePoint now) {
   for (WaitingQuery &query : state->m_waiting) {
     if (query.m_credit_request != 0 || now < query.m_ask_at) continue;
     query.m_credit_request = request->m_number;
@@ -306,7 +305,7 @@
     base::milliseconds lifetime = GetCreditLifetime(*team->second, settings);
     DropExpiredLots(&state, now);
     TakeOldLots(&state, lifetime, now);
-    WantForWaiting(holder, name, &state, &sent, now);
+    WantForWaiting(name, &state, &sent, now);
     WantAhead(*holder, name, state, lifetime, &sent, now);
     if (state.m_returned > 0) {
       FillCredit(request.add_returned(), name, state.m_returned);
--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -13,7 +13,8 @@
 
 // Guards against ending a short request for what a long one holds.
 TEST(MemoryBudgetTest, TheLargestThatIsNotServedEnds) {
-  MemoryBudget budget{.m_limit = 100 * kKiB};
+  MemoryBudget budget;
+  budget.m_limit = 100 * kKiB;
   ASSERT_TRUE(BeginServing(&budget, 1, 60 * kKiB));
   SetHeldBytes(&budget, 2, 20 * kKiB);
   SetHeldBytes(&budget, 3, 10 * kKiB);
@@ -27,7 +28,8 @@
 
 // Guards against refusing short requests while long ones hold everything.
 TEST(MemoryBudgetTest, ShortRequestsAreNotCounted) {
-  MemoryBudget budget{.m_limit = 100 * kKiB};
+  MemoryBudget budget;
+  budget.m_limit = 100 * kKiB;
   ASSERT_TRUE(BeginServing(&budget, 1, 200 * kKiB));
   SetHeldBytes(&budget, 2, kUncountedBytes);
   EXPECT_EQ(ChooseToEnd(budget), std::nullopt);
@@ -38,7 +40,8 @@
 // Guards against served long requests that leave no room to read any other,
 // and against refusing the only one.
 TEST(MemoryBudgetTest, ServedRequestsLeaveRoom) {
-  MemoryBudget budget{.m_limit = 100 * kKiB};
+  MemoryBudget budget;
+  budget.m_limit = 100 * kKiB;
   EXPECT_TRUE(BeginServing(&budget, 1, 90 * kKiB));
   EXPECT_FALSE(BeginServing(&budget, 2, 6 * kKiB));
   ReleaseMemory(&budget, 1);
@@ -51,7 +54,8 @@
 // Guards against sums that drift from the holders; the seed is fixed.
 TEST(MemoryBudgetTest, SumsMatchTheHolders) {
   std::mt19937 random(7);
-  MemoryBudget budget{.m_limit = 400 * kKiB};
+  MemoryBudget budget;
+  budget.m_limit = 400 * kKiB;
   for (int i = 0; i < 20'000; ++i) {
     std::uint64_t id = random() % 30;
     std::size_t bytes = random() % (60 * kKiB);
