--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -364,6 +364,9 @@
   std::string line;
   if (!std::getline(parser->m_input, line)) return nullptr;
   ++parser->m_line;
+  // A renderer that knows no optional sections leaves them in a template. The
+  // defaults hold for them.
+  if (line.starts_with("{{")) line.clear();
   parser->m_is_continuation =
       !line.empty() && (line[0] == ' ' || line[0] == '\t');
   if (line.size() + 2 > static_cast<std::size_t>(size)) {
--- a/tests/platform_settings_test.cpp
+++ b/tests/platform_settings_test.cpp
@@ -164,6 +164,22 @@
   }
 }
 
+// Programs didn't start from templates whose optional sections were left in by
+// a renderer that doesn't know them.
+TEST(PlatformSettingsTest, SectionsThatWereNotFilledGiveDefaults) {
+  gen::FleetEntrySettings entry;
+  auto read = base::ParseSettings(
+      "[node]\nname = n\nregion = r\ndomain = d\n[admin]\nlisten = 1.1.1.1:1\n"
+      "[network]\nmessage_address = 1.1.1.1:2\nmessage_port = 2\n[bounds]\n"
+      "{{#bounds.strictRevoke}}strict_revocation = true\n"
+      "{{/bounds.strictRevoke}}{{#bounds.revokeMs}}revocation_ms = 1ms\n"
+      "{{/bounds.revokeMs}}\n[callers]\nlisten = 1.1.1.1:3\n",
+      "entry.ini", &entry);
+  ASSERT_TRUE(read) << read.error().ToString();
+  EXPECT_EQ(entry.bounds().strict_revocation(), "false");
+  EXPECT_EQ(entry.bounds().revocation_ms(), 5'000);
+}
+
 // A bound that can't be meant must stop the program with an error that says
 // where it stands, not be used or replaced without a word.
 TEST(PlatformSettingsTest, RefusesBoundsThatCannotBeMeant) {
