Test answers with invalid field names and resets during the request

The code handles both, so only the tests are kept: - A head or trailer whose field name holds a blank or a control byte, 15 names, in the first field and in a later one, is an error of the client, and neither interface passes it on: 502, or the answer of another runner. - A reset is found by the send of the request (12 MiB, more than the sender's socket buffer takes) or by the next read (1 MiB); callers get 502 or a stream that is cut.

--- a/tests/entry.cmake
+++ b/tests/entry.cmake
@@ -1,4 +1,5 @@
 ww_add_test(entry_server_test ww_entry_lib)
+ww_add_test(entry_broken_answer_test ww_entry_lib)
 ww_add_test(entry_upstream_table_test ww_entry_lib)
 ww_add_test(entry_stream_test ww_entry_lib)
 ww_add_test(entry_silent_engine_test ww_entry_lib)
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -12,6 +12,7 @@
 # of freed memory by default.
 set_tests_properties(gateway_faulty_runner_test PROPERTIES ENVIRONMENT
   "ASAN_OPTIONS=detect_stack_use_after_return=0:quarantine_size_mb=1")
+ww_add_test(gateway_broken_answer_test ww_platform_lib)
 ww_add_test(gateway_team_test ww_platform_lib)
 ww_add_test(gateway_drain_test ww_platform_lib)
 ww_add_test(gateway_process_test ww_platform_lib ww_scenario_lib)
--- a/tests/gateway_faulty_runner_test.cpp
+++ b/tests/gateway_faulty_runner_test.cpp
@@ -3,13 +3,11 @@
 #include <unistd.h>
 
 #include <atomic>
-#include <cstdio>
 #include <fstream>
 #include <thread>
 
 #include "gateway/event_stream_func.h"
-#include "gateway_harness.h"
-#include "raw_runner.h"
+#include "gateway_raw_harness.h"
 
 namespace wasabiwind::gateway {
 namespace {
@@ -18,47 +16,6 @@
     "HTTP/1.1 503 Service Unavailable\r\nX-Wasabiwind-Not-Run: 1\r\n"
     "Content-Length: 0\r\n\r\n";
 
-/** Runs a body with a gateway whose upstreams are raw runners. */
-void RunWithRaw(const std::vector<RawRunner *> &runners,
-                const std::function<void(Harness *)> &body) {
-  std::vector<std::string> addresses;
-  for (RawRunner *runner : runners) addresses.push_back(runner->Address());
-  net::RunFiberThread([&] {
-    Harness harness({}, addresses);
-    harness.EarnRetries();
-    body(&harness);
-  });
-}
-
-/** @return status line and headers of a signed answer, without the empty line.
- */
-std::string SignedHead(const std::string &request, const char *status) {
-  return std::string("HTTP/1.1 ") + status + "\r\nX-Wasabiwind-Request-Id: " +
-         GetRawHeader(request, "X-Wasabiwind-Request-Id") +
-         "\r\nX-Wasabiwind-Server-Stamp: stamp\r\n";
-}
-
-std::string SignedAnswer(const std::string &request, const char *status,
-                         const std::string &body) {
-  return SignedHead(request, status) +
-         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
-std::string Events(int first, int last) {
-  std::string text;
-  for (int i = first; i <= last; ++i) {
-    std::string id = std::to_string(i);
-    text += "id: " + id + "\ndata: " + id + "\n\n";
-  }
-  return text;
-}
-
-std::string Chunk(const std::string &text) {
-  char size[16];
-  std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-  return size + text + "\r\n";
-}
-
 /** Begins a chunked stream with two events and breaks it off inside a third. */
 bool BreakStream(const std::string &request, const RawConnection &connection) {
   connection.Write(SignedHead(request, "200 OK") +
--- a/tests/gateway_harness.h
+++ b/tests/gateway_harness.h
@@ -252,7 +252,7 @@
     for (const net::HttpHeader &header : m_call_headers.m_items) {
       request.m_headers.Add(header.m_name, header.m_value);
     }
-    request.m_body = "{}";
+    request.m_body = m_call_body;
     m_gateway.HandleCaller(request, *exchange);
   }
 
@@ -326,6 +326,7 @@
   int m_freshness_query_count = 0;
   std::map<std::string, int> m_routes_requests;  ///< by control host
   net::HttpHeaders m_call_headers;  ///< of callers, beside the usual ones
+  std::string m_call_body = "{}";   ///< of callers
   Gateway m_gateway;
   std::vector<std::unique_ptr<FakeRunner>> m_runners;
   boost::fibers::fiber m_timers;
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -165,6 +165,66 @@
   });
 }
 
+/** @return what a client reads from a peer that writes these bytes and closes
+ * the connection. */
+base::Result<HttpResponse> FetchRaw(const std::string &answer) {
+  RawRunner peer(
+      [&answer](int, const std::string &, const RawConnection &connection) {
+        connection.Write(answer);
+        return false;
+      });
+  base::Result<HttpResponse> response;
+  RunFiberThread([&] {
+    HttpClientPool pool;
+    response = pool.Fetch(*ParseEndpoint(peer.Address()),
+                          HttpRequest{"GET", "/", {}, ""}, In(seconds(5)));
+  });
+  return response;
+}
+
+/** @return names of fields that hold a blank or a control byte. */
+std::vector<std::string> MakeInvalidFieldNames() {
+  return {"X Name",
+          "X\tName",
+          "X-Name ",
+          "X-Name\t",
+          "X\x01Name",
+          "X\x7fName",
+          "X-Name\x1b",
+          "X\rName",
+          "X\nName",
+          std::string("X\0Name", 6),
+          "\x02X-Name",
+          "X\x0bName\f",
+          "Content Length",
+          "Content-Length ",
+          ""};
+}
+
+/** Guards against answers whose fields can't be told apart. */
+TEST(HttpTest, AnswerWithInvalidFieldNameIsAnError) {
+  for (const std::string &name : MakeInvalidFieldNames()) {
+    for (const char *before : {"", "X-First: 1\r\n"}) {
+      SCOPED_TRACE(testing::PrintToString(before + name));
+      auto response = FetchRaw(std::string("HTTP/1.1 200 OK\r\n") + before +
+                               name + ": 4\r\nContent-Length: 4\r\n\r\nbody");
+      ASSERT_FALSE(response);
+      EXPECT_EQ(response.error().m_kind, base::ErrorKind::kProtocol);
+    }
+  }
+}
+
+/** Guards against trailers of the same kind. */
+TEST(HttpTest, AnswerWithInvalidTrailerNameIsAnError) {
+  for (const std::string &name : MakeInvalidFieldNames()) {
+    SCOPED_TRACE(testing::PrintToString(name));
+    EXPECT_FALSE(
+        FetchRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                 "\r\n4\r\nbody\r\n0\r\n" +
+                 name + ": 1\r\n\r\n"));
+  }
+}
+
 /** @return a request that keeps the connection, or lets it close. */
 std::string MakeRawRequest(const std::string &method, bool is_last) {
   return method + " / HTTP/1.1\r\nHost: a\r\nConnection: " +
--- a/tests/raw_runner.h
+++ b/tests/raw_runner.h
@@ -43,6 +43,9 @@
     return total;
   }
 
+  /** Ends the bytes of this side; the peer may go on sending. */
+  void EndOutput() const { ::shutdown(m_socket, SHUT_WR); }
+
   /** Makes the close of the connection a reset. */
   void Reset() const {
     linger option{1, 0};
@@ -61,9 +64,15 @@
   return request.substr(at, request.find("\r\n", at) - at);
 }
 
+/** How much of a request a RawRunner reads before it runs its script. */
+enum class RawRead : std::uint8_t {
+  kRequest,  ///< head and body
+  kHead,     ///< the head, and what arrives together with it
+};
+
 /**
  * Accepts connections on a loopback port, with a thread for each. The script
- * gets each request (head and body) and writes the answer.
+ * gets each request and writes the answer.
  */
 class RawRunner {
  public:
@@ -72,7 +81,8 @@
   using Script = std::function<bool(int call, const std::string &request,
                                     const RawConnection &connection)>;
 
-  explicit RawRunner(Script script) : m_script(std::move(script)) {
+  explicit RawRunner(Script script, RawRead read = RawRead::kRequest)
+      : m_script(std::move(script)), m_read(read) {
     m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -97,13 +107,15 @@
     for (int socket : m_sockets) ::close(socket);
   }
 
-  /** Reads one request with its body. @return false once the peer has closed */
-  static bool ReadRequest(int socket, std::string *request) {
+  /** Reads one request. @return false once the peer has closed */
+  static bool ReadRequest(int socket, std::string *request,
+                          RawRead read = RawRead::kRequest) {
     request->clear();
     char bytes[4096];
     while (true) {
       std::size_t head = request->find("\r\n\r\n");
       if (head != std::string::npos) {
+        if (read == RawRead::kHead) return true;
         std::string length = GetRawHeader(*request, "Content-Length");
         std::size_t body = length.empty() ? 0 : std::stoul(length);
         if (request->size() >= head + 4 + body) return true;
@@ -130,7 +142,7 @@
 
   void Serve(int socket) {
     std::string request;
-    while (ReadRequest(socket, &request)) {
+    while (ReadRequest(socket, &request, m_read)) {
       if (!m_script(m_calls++, request, RawConnection(socket))) break;
     }
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -139,6 +151,7 @@
   }
 
   Script m_script;
+  RawRead m_read;
   int m_listener = -1;
   std::uint16_t m_port = 0;
   std::atomic<int> m_calls = 0;
