Reject answers whose status HTTP doesn't allow

Cause: Boost.Beast's parser accepts any three digits as a status, and nothing after it checks the range. 0 is below 500, so both interfaces took such an answer for a sound one: it was passed on, counted as a success of the runner, and a request that may be repeated wasn't sent elsewhere.

Change: HttpCall::ReadHead fails with kProtocol for a status outside 100 to 599 (RFC 9110, 15) and the connection isn't used again. All that reads HTTP answers uses this client: both interfaces, health checks, status queries and orders of control hosts, wwctl, the load tool and the soak. There it matters most for orders of ww_control: 000 counted as refused, so that the memory of a load was free for another one although the engine might carry it out; it counts as lost now.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -214,13 +214,18 @@
         return Fail(error, kReadAction);
       }
     }
+    // The parser accepts any three digits.
+    int status = m_parser.get().result_int();
+    if (!IsValidStatus(status)) {
+      return Fail(http::error::bad_status, kReadAction);
+    }
     // From here on each call of the parser takes all body bytes received so
     // far.
     m_parser.eager(true);
     m_has_head = true;
     m_connection->m_idle_limit = GetIdleLimit(m_parser);
     HttpResponse response;
-    response.m_status = m_parser.get().result_int();
+    response.m_status = status;
     for (const auto &field : m_parser.get()) {
       response.m_headers.Add(std::string(field.name_string()),
                              std::string(field.value()));
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -41,6 +41,11 @@
   std::string m_body;
 };
 
+/** @return whether HTTP allows a status in a response (RFC 9110, 15). */
+constexpr bool IsValidStatus(int status) {
+  return status >= 100 && status <= 599;
+}
+
 /** @return a response with a JSON body and its content type. */
 HttpResponse MakeJsonResponse(int status, std::string body);
 
--- a/tests/control.cmake
+++ b/tests/control.cmake
@@ -1,3 +1,4 @@
+ww_add_test(control_engine_client_test ww_control_lib)
 ww_add_program(control_test_server control_test_server_main.cpp ww_control_lib)
 ww_add_test(control_process_test ww_control_lib ww_scenario_lib)
 add_dependencies(control_process_test control_test_server ww_control)
--- a/tests/entry_broken_answer_test.cpp
+++ b/tests/entry_broken_answer_test.cpp
@@ -40,6 +40,14 @@
   EXPECT_GE(upstream.CountCalls(), 3);
 }
 
+// An answer with status 000 was passed on to its caller.
+TEST(EntryBrokenAnswerTest, InvalidStatusIsNotPassedOn) {
+  for (const char *status : {"000", "099", "600"}) {
+    SCOPED_TRACE(status);
+    ExpectRefused(std::string("HTTP/1.1 ") + status + " OK\r\n");
+  }
+}
+
 /** Guards against a line that is no field in what a caller gets. */
 TEST(EntryBrokenAnswerTest, InvalidFieldNameIsNotPassedOn) {
   for (const char *line : {"X Name: 1", "X-Name : 1", "X\x01Name: 1"}) {
--- a/tests/gateway_broken_answer_test.cpp
+++ b/tests/gateway_broken_answer_test.cpp
@@ -62,6 +62,16 @@
   }
 }
 
+// An answer with status 000 was passed on to its caller.
+TEST(GatewayBrokenAnswerTest, InvalidStatusIsNotPassedOn) {
+  for (const char *status : {"000 OK", "099 OK", "600 OK", "999 OK"}) {
+    SCOPED_TRACE(status);
+    ExpectNotPassedOn([status](const std::string &request) {
+      return SignedAnswer(request, status, Events(1, 2));
+    });
+  }
+}
+
 /** Guards against a line that is no field in what a caller gets. */
 TEST(GatewayBrokenAnswerTest, InvalidFieldNameIsNotPassedOn) {
   for (const char *line :
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -182,6 +182,23 @@
   return response;
 }
 
+// An answer with status 000 was read as a valid one.
+TEST(HttpTest, AnswerWithInvalidStatusIsAnError) {
+  for (const char *status : {"000", "001", "099", "600", "999"}) {
+    SCOPED_TRACE(status);
+    auto response = FetchRaw(std::string("HTTP/1.1 ") + status +
+                             " OK\r\nContent-Length: 4\r\n\r\nbody");
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.error().m_kind, base::ErrorKind::kProtocol);
+  }
+  for (const char *status : {"200", "599"}) {
+    auto response = FetchRaw(std::string("HTTP/1.1 ") + status +
+                             " OK\r\nContent-Length: 4\r\n\r\nbody");
+    ASSERT_TRUE(response) << status;
+    EXPECT_EQ(response->m_body, "body");
+  }
+}
+
 /** @return names of fields that hold a blank or a control byte. */
 std::vector<std::string> MakeInvalidFieldNames() {
   return {"X Name",
