Refuse a stored answer whose status isn't valid

ServiceRelay::AnswerStored checked that the record parses, not its status, and an empty record parses.

Change: such a record is refused with outcome_unknown, which says that the request may have run, and with a detail of its own.

Evidence: EntryOnceTest.StoredAnswerWithInvalidStatusIsNotPassedOn failed on the code before (no refusal, status 0); EntryOnceTest 4 of 4 passed now.

--- a/src/entry/service_relay.cpp
+++ b/src/entry/service_relay.cpp
@@ -347,10 +347,13 @@
 
 void ServiceRelay::AnswerStored(const std::string &stored) {
   gen::StoredAnswer answer;
-  if (!answer.ParseFromString(stored) || answer.is_body_dropped()) {
+  bool is_readable =
+      answer.ParseFromString(stored) && net::IsValidStatus(answer.status());
+  if (!is_readable || answer.is_body_dropped()) {
     m_scope->m_may_have_run = true;
     Refuse(m_scope, route::RefusalReason::kOutcomeUnknown,
-           "the answer was too long to keep");
+           is_readable ? "the answer was too long to keep"
+                       : "the stored answer can't be read");
     return;
   }
   net::HttpResponse response;
--- a/tests/entry_once_test.cpp
+++ b/tests/entry_once_test.cpp
@@ -37,6 +37,11 @@
     std::lock_guard<std::mutex> lock(m_mutex);
     m_records.erase(request.m_key);
   }
+  /** Replaces all stored answers. */
+  void SetAnswers(const std::string &answer) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto &[key, record] : m_records) record.m_answer = answer;
+  }
   std::size_t Count() {
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_records.size();
@@ -143,5 +148,25 @@
   });
 }
 
+// A stored answer without a valid status was sent with status 000.
+TEST(EntryOnceTest, StoredAnswerWithInvalidStatusIsNotPassedOn) {
+  FakeUpstream service([](const auto &, auto &exchange) {
+    (void)exchange.Respond(net::MakeJsonResponse(201, "{}"));
+  });
+  net::RunFiberThread([&] {
+    FakeOnceClient once;
+    EntryHarness entry("", &once);
+    entry.AnnounceService("s1", "orders", service.Address());
+    auto send = [&entry] {
+      return entry.Send("POST", "/svc/orders/n", "x", MakeKeyHeader("k"));
+    };
+    EXPECT_EQ(send().m_status, 201);
+    once.SetAnswers("");
+    EXPECT_EQ(GetReason(send()), "outcome_unknown/unknown");
+    EXPECT_EQ(service.Requests().size(), 1U);
+    entry.CloseConnections();
+  });
+}
+
 }  // namespace
 }  // namespace wasabiwind::entry
