Reject answers with a blank before a field name

The client got it as an answer: the value before it, for example the runner's stamp, had that line at its end, and without its length the body went on until the connection closed, so that a part of it, or more than it, looked complete.

Cause: Boost.Beast's parser rejects a blank or a control byte inside a name and after it, but reads a line that begins with a blank as the rest of the value before it (obs-fold). RFC 9112, 5.2 has a proxy reject such a response or replace the fold; replacing it keeps the wrong length.

Change: the client fails with kProtocol if a line of a head begins with a blank. The bytes that the parser has used for a head are looked at, so a head in several packets is checked as well. A fold in trailers is harmless: trailers aren't passed on and frame nothing.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -98,6 +98,18 @@
   return base::milliseconds(std::max(1, seconds * 500));
 }
 
+/**
+ * @param size how many bytes of the data belong to a head
+ * @return whether a line of the head begins with a blank. The parser takes such
+ *         a line as a part of the value before it (obs-fold of RFC 9112, 5.2),
+ *         also if it was meant to be a field, such as the length of the body.
+ */
+bool HasFoldedLine(asio::const_buffer data, std::size_t size) {
+  std::string_view head(static_cast<const char *>(data.data()), size);
+  return head.find("\n ") != std::string_view::npos ||
+         head.find("\n\t") != std::string_view::npos;
+}
+
 void SetUserTimeout(tcp::socket *socket, base::milliseconds timeout) {
   if (timeout.count() == 0) return;
   auto value = static_cast<unsigned int>(timeout.count());
@@ -285,6 +297,9 @@
       bool had_head = m_parser.is_header_done();
       beast::error_code error;
       std::size_t used = m_parser.put(buffer.data(), error);
+      if (!had_head && HasFoldedLine(buffer.data(), used)) {
+        return http::error::bad_field;
+      }
       buffer.consume(used);
       if (error == http::error::need_more) return {};
       if (error) return error;
--- a/tests/control_engine_client_test.cpp
+++ b/tests/control_engine_client_test.cpp
@@ -31,8 +31,10 @@
 // An order that was answered with status 000 counted as refused, so that its
 // memory was given to another one, although the engine may carry it out.
 TEST(EngineClientTest, OrderWithABrokenAnswerIsLost) {
-  for (const char *head : {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n",
-                           "HTTP/1.1 202 Accepted\r\nX Name: 1\r\n"}) {
+  for (const char *head :
+       {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n",
+        "HTTP/1.1 202 Accepted\r\nX Name: 1\r\n",
+        "HTTP/1.1 202 Accepted\r\nX-First: 1\r\n Content-Length: 9\r\n"}) {
     SCOPED_TRACE(head);
     EXPECT_EQ(SendOrderTo(std::string(head) + "\r\n{}"),
               placement::OrderOutcome::kLost);
--- a/tests/entry_broken_answer_test.cpp
+++ b/tests/entry_broken_answer_test.cpp
@@ -56,5 +56,11 @@
   }
 }
 
+// A field whose name begins with a blank was read as a part of the value before
+// it.
+TEST(EntryBrokenAnswerTest, BlankBeforeAFieldNameIsNotPassedOn) {
+  ExpectRefused("HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 4\r\n");
+}
+
 }  // namespace
 }  // namespace wasabiwind::entry
--- a/tests/gateway_broken_answer_test.cpp
+++ b/tests/gateway_broken_answer_test.cpp
@@ -84,6 +84,18 @@
   }
 }
 
+// A length whose name had a blank before it was read as a part of the value
+// before it, and the caller got a body that wasn't the runner's.
+TEST(GatewayBrokenAnswerTest, BlankBeforeAFieldNameIsNotPassedOn) {
+  for (const char *line : {" Content-Length: 99", "\tContent-Length: 99",
+                           " X-Name: 1\r\nContent-Length: 34"}) {
+    SCOPED_TRACE(testing::PrintToString(line));
+    ExpectNotPassedOn([line](const std::string &request) {
+      return SignedHead(request, "200 OK") + line + "\r\n\r\n" + Events(1, 2);
+    });
+  }
+}
+
 /** How a runner ends its connection while a request is being sent to it. */
 enum class CutKind : std::uint8_t {
   kReset,           ///< at once
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -165,12 +165,17 @@
   });
 }
 
-/** @return what a client reads from a peer that writes these bytes and closes
- * the connection. */
-base::Result<HttpResponse> FetchRaw(const std::string &answer) {
+/** @return what a client reads from a peer that writes these parts, with pauses
+ * between them, and closes the connection. */
+base::Result<HttpResponse> FetchRaw(const std::vector<std::string> &parts) {
   RawRunner peer(
-      [&answer](int, const std::string &, const RawConnection &connection) {
-        connection.Write(answer);
+      [&parts](int, const std::string &, const RawConnection &connection) {
+        for (const std::string &part : parts) {
+          if (&part != parts.data()) {
+            std::this_thread::sleep_for(milliseconds(20));
+          }
+          connection.Write(part);
+        }
         return false;
       });
   base::Result<HttpResponse> response;
@@ -182,6 +187,10 @@
   return response;
 }
 
+base::Result<HttpResponse> FetchRaw(const std::string &answer) {
+  return FetchRaw(std::vector<std::string>{answer});
+}
+
 // An answer with status 000 was read as a valid one.
 TEST(HttpTest, AnswerWithInvalidStatusIsAnError) {
   for (const char *status : {"000", "001", "099", "600", "999"}) {
@@ -242,6 +251,31 @@
   }
 }
 
+// A field whose name begins with a blank was read as the end of the value
+// before it. Without its length, the body went on until the connection closed.
+TEST(HttpTest, AnswerWithBlankBeforeAFieldNameIsAnError) {
+  for (const char *blank : {" ", "\t", "  "}) {
+    for (const char *before : {"", "X-First: 1\r\n", "X-First:\r\n"}) {
+      SCOPED_TRACE(testing::PrintToString(std::string(before) + blank));
+      auto response =
+          FetchRaw(std::string("HTTP/1.1 200 OK\r\n") + before + blank +
+                   "Content-Length: 4\r\n\r\nbody of it and more");
+      ASSERT_FALSE(response);
+      EXPECT_EQ(response.error().m_kind, base::ErrorKind::kProtocol);
+    }
+  }
+}
+
+/** Guards against a check that a head in several packets evades. */
+TEST(HttpTest, BlankBeforeAFieldNameIsFoundInAHeadThatArrivesInParts) {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-First: 1\r\n X-Second: 2\r\n";
+  const std::string rest = "Content-Length: 4\r\n\r\nbody";
+  for (std::size_t at = head.find(" X-Second") - 2; at < head.size(); at += 2) {
+    SCOPED_TRACE(at);
+    EXPECT_FALSE(FetchRaw({head.substr(0, at), head.substr(at), rest}));
+  }
+}
+
 /** @return a request that keeps the connection, or lets it close. */
 std::string MakeRawRequest(const std::string &method, bool is_last) {
   return method + " / HTTP/1.1\r\nHost: a\r\nConnection: " +
