Don't take the end of a runner that gets a request for that of its answer

But a process that ends after it has read all bytes that had arrived closes its side first, and its host resets the connection when more bytes of the request arrive. After a close the kernel gives no error to reads: they go on finding the end of the connection.

Change: at the end of the connection the client completes a body without length only once the peer has acknowledged all bytes of the request (SIOCOUTQ) and no error is pending on the socket (SO_ERROR). Until then it looks again each 5 ms, up to the deadline of the read. This decides the case, because a close that follows the whole request acknowledges it, and bytes that follow a close of the process are answered with a reset. A peer that reads on after an early answer still has it completed.

What remains: a runner that had received the whole request and closes in the middle of such a body regularly can't be told from one that is done.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,7 +3,9 @@
 #include "net/http_client.h"
 
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -34,6 +36,8 @@
 /** Most bytes that are kept until they can be parsed: the end of a chunk's size
  * or of a trailer may never come. */
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+/** How often it is checked whether the peer has received the request. */
+constexpr base::milliseconds kReceivedCheckInterval{5};
 constexpr const char *kReadAction = "read answer of";
 
 base::Error MakeIoError(const beast::error_code &error, const char *action,
@@ -117,6 +121,23 @@
                      &value, sizeof(value));
 }
 
+/** Takes the pending error off a socket, such as a reset by the peer. */
+beast::error_code TakeSocketError(tcp::socket *socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(socket->native_handle(), SOL_SOCKET, SO_ERROR, &error,
+                   &size) != 0) {
+    error = errno;
+  }
+  return {error, boost::system::system_category()};
+}
+
+/** @return whether sent bytes exist that the peer hasn't acknowledged. */
+bool HasUnacknowledgedBytes(tcp::socket *socket) {
+  int count = 0;
+  return ::ioctl(socket->native_handle(), SIOCOUTQ, &count) == 0 && count > 0;
+}
+
 /** @return whether a pooled connection is still open and has no unread data. */
 bool IsUsable(ClientConnection *connection) {
   tcp::socket &socket = connection->m_socket.Socket();
@@ -275,7 +296,8 @@
     // The kernel reports an error once: the next read would find the end of the
     // connection instead, which may be the end of a body.
     if (count < 0 && !is_pending) {
-      m_peek_error = beast::error_code(errno, boost::system::system_category());
+      m_pending_error =
+          beast::error_code(errno, boost::system::system_category());
     }
     return count > 0;
   }
@@ -311,7 +333,7 @@
   /** Receives bytes. The end of the connection may be the end of the body. */
   beast::error_code ReceiveMore(base::TimePoint deadline) {
     beast::flat_buffer &buffer = m_connection->m_buffer;
-    if (m_peek_error) return m_peek_error;
+    if (m_pending_error) return m_pending_error;
     if (buffer.size() >= kMaxUnparsedBytes) return http::error::buffer_overflow;
     IoResult result = m_connection->m_socket.ReadSome(
         buffer.prepare(kReadChunkBytes), deadline);
@@ -319,11 +341,34 @@
     if (result.m_error != asio::error::eof) return result.m_error;
     if (!m_parser.got_some()) return http::error::end_of_stream;
     beast::error_code error;
+    if (m_parser.need_eof()) error = AwaitRequestReceived(deadline);
+    if (error) return error;
     m_parser.put_eof(error);
     if (!error && !m_parser.is_done()) error = http::error::partial_message;
     return error;
   }
 
+  /**
+   * Waits, after the peer has closed its side, until it has received the whole
+   * request. A process that ends while bytes are on their way to it closes its
+   * side first and resets the connection when they arrive, so until then the
+   * close doesn't complete a body without length.
+   * @return the error of the connection; timeout after the deadline
+   */
+  beast::error_code AwaitRequestReceived(base::TimePoint deadline) {
+    tcp::socket &socket = m_connection->m_socket.Socket();
+    while (true) {
+      bool is_received = !HasUnacknowledgedBytes(&socket);
+      // Checked last: the reset may come between the two calls.
+      m_pending_error = TakeSocketError(&socket);
+      if (m_pending_error) return m_pending_error;
+      if (is_received) return {};
+      if (m_cancelled) return asio::error::operation_aborted;
+      if (base::Clock::now() >= deadline) return beast::error::timeout;
+      SleepFor(kReceivedCheckInterval);
+    }
+  }
+
   tl::unexpected<base::Error> Fail(const beast::error_code &error,
                                    const char *action) {
     m_failed = m_failed || error != beast::error::timeout;
@@ -334,7 +379,7 @@
   std::unique_ptr<ClientConnection> m_connection;
   ResponseParser m_parser;
   ReturnCallback m_return_connection;
-  beast::error_code m_peek_error;  ///< of the connection, seen by HasInput
+  beast::error_code m_pending_error;  ///< taken off the socket by a check
   bool m_has_head = false;
   bool m_failed = false;
   bool m_discard = false;
--- a/tests/entry_broken_answer_test.cpp
+++ b/tests/entry_broken_answer_test.cpp
@@ -62,5 +62,33 @@
   ExpectRefused("HTTP/1.1 200 OK\r\nX-First: 1\r\n Content-Length: 4\r\n");
 }
 
+// A runner that ended while a request was on its way to it closed its side
+// before the reset, and that was read as the end of its answer.
+TEST(EntryBrokenAnswerTest, EndDuringTheRequestIsNotTheEndOfAnAnswer) {
+  constexpr std::size_t kUploadBytes = 1u << 20;
+  for (bool is_end_sent : {false, true}) {
+    SCOPED_TRACE(is_end_sent);
+    RawRunner upstream(
+        [is_end_sent](int, const std::string &,
+                      const RawConnection &connection) {
+          connection.Write("HTTP/1.1 200 OK\r\n\r\npart");
+          std::this_thread::sleep_for(base::milliseconds(20));
+          if (is_end_sent) connection.EndOutput();
+          std::this_thread::sleep_for(base::milliseconds(20));
+          connection.Reset();
+          return false;
+        },
+        RawRead::kHead);
+    net::RunFiberThread([&upstream] {
+      EntryHarness entry;
+      entry.AnnounceService("s1", "stock", upstream.Address());
+      net::HttpResponse answer =
+          entry.Send("GET", "/svc/stock/items", std::string(kUploadBytes, 'u'));
+      EXPECT_EQ(GetReason(answer), "upstream_failed/unknown");
+      entry.CloseConnections();
+    });
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwind::entry
--- a/tests/gateway_broken_answer_test.cpp
+++ b/tests/gateway_broken_answer_test.cpp
@@ -146,5 +146,14 @@
   }
 }
 
+// A runner that ended while a request was on its way to it closed its side
+// before the reset, and that was read as the end of its answer.
+TEST(GatewayBrokenAnswerTest, EndDuringTheRequestIsNotTheEndOfAnAnswer) {
+  for (std::size_t bytes : kUploadBytes) {
+    SCOPED_TRACE(bytes);
+    ExpectCutUploadIsNotAnswered(CutKind::kEndBeforeReset, bytes);
+  }
+}
+
 }  // namespace
 }  // namespace wasabiwind::gateway
--- a/tests/net_http_test.cpp
+++ b/tests/net_http_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -276,6 +277,61 @@
   }
 }
 
+/** What a peer does after it has answered before the request has arrived. */
+enum class AfterEarlyAnswer : std::uint8_t { kReadsOn, kReset, kStopsReading };
+
+/** @return what a client gets that sends 1 MiB, which its socket buffer takes
+ * whole, to a peer that answers without a length and closes its side. */
+base::Result<HttpResponse> FetchEarlyAnswer(AfterEarlyAnswer after) {
+  std::atomic<bool> has_ended = false;
+  RawRunner peer(
+      [&](int, const std::string &, const RawConnection &connection) {
+        connection.Write("HTTP/1.1 200 OK\r\n\r\nbody");
+        connection.EndOutput();
+        std::this_thread::sleep_for(milliseconds(50));
+        if (after == AfterEarlyAnswer::kReset) connection.Reset();
+        if (after == AfterEarlyAnswer::kReadsOn) connection.ReadToEnd();
+        while (after == AfterEarlyAnswer::kStopsReading && !has_ended) {
+          std::this_thread::sleep_for(milliseconds(5));
+        }
+        return false;
+      },
+      RawRead::kHead);
+  base::Result<HttpResponse> response;
+  RunFiberThread([&] {
+    HttpClientPool pool;
+    HttpRequest request{"POST", "/", {}, std::string(1u << 20, 'u')};
+    bool must_time_out = after == AfterEarlyAnswer::kStopsReading;
+    response = pool.Fetch(*ParseEndpoint(peer.Address()), request,
+                          In(milliseconds(must_time_out ? 300 : 5'000)));
+  });
+  has_ended = true;
+  return response;
+}
+
+/** Guards against the rejection of an answer whose peer reads the rest of the
+ * request after it has closed its side, as servers do that answer early. */
+TEST(HttpTest, EndBeforeTheRequestIsReadCompletesAnAnswer) {
+  auto response = FetchEarlyAnswer(AfterEarlyAnswer::kReadsOn);
+  ASSERT_TRUE(response) << response.error().ToString();
+  EXPECT_EQ(response->m_body, "body");
+}
+
+// A peer that ended while the request was on its way to it closed its side
+// before the reset, and that was read as the end of a body without length.
+TEST(HttpTest, EndBeforeAResetDoesNotCompleteAnAnswer) {
+  auto response = FetchEarlyAnswer(AfterEarlyAnswer::kReset);
+  ASSERT_FALSE(response);
+  EXPECT_EQ(response.error().m_kind, base::ErrorKind::kIo);
+}
+
+/** Guards against a wait for the peer that outlasts the deadline. */
+TEST(HttpTest, EndOfAPeerThatStopsReadingTimesOut) {
+  auto response = FetchEarlyAnswer(AfterEarlyAnswer::kStopsReading);
+  ASSERT_FALSE(response);
+  EXPECT_EQ(response.error().m_kind, base::ErrorKind::kTimeout);
+}
+
 /** @return a request that keeps the connection, or lets it close. */
 std::string MakeRawRequest(const std::string &method, bool is_last) {
   return method + " / HTTP/1.1\r\nHost: a\r\nConnection: " +
--- a/tests/raw_runner.h
+++ b/tests/raw_runner.h
@@ -43,6 +43,13 @@
     return total;
   }
 
+  /** Reads and discards bytes until the peer closes. */
+  void ReadToEnd() const {
+    char bytes[4096];
+    while (::recv(m_socket, bytes, sizeof(bytes), 0) > 0) {
+    }
+  }
+
   /** Ends the bytes of this side; the peer may go on sending. */
   void EndOutput() const { ::shutdown(m_socket, SHUT_WR); }
 
