--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -47,12 +47,15 @@
   /**
    * Waits for status and headers; the body of the result is empty.
    * @return kTimeout after the deadline, after which another read may follow;
-   *         kIo or kProtocol for other errors
+   *         kIo or kProtocol for other errors, such as a status outside 100 to
+   *         599 or a line that begins with a blank
    */
   virtual base::Result<HttpResponse> ReadHead(base::TimePoint deadline) = 0;
 
   /**
-   * Waits for the next part of the body and appends it.
+   * Waits for the next part of the body and appends it. A body without length
+   * ends with the connection, but not before the peer has received the whole
+   * request.
    * @param[out] data receives the bytes that have arrived
    * @return false at the end of the body; errors as for ReadHead
    * @pre ReadHead succeeded
