Bound updates of facts by their bytes

Seen: 250 reports of 40 kB, each acknowledged, ended the control host that had them as soon as another host started again and needed all of them.

Cause: FillFactUpdate cut an update after 256 facts, whatever they contain. A report may be as long as the HTTP server allows, so an update outgrew the 8 MiB of a message, and MessageTransport::Send asserts that length.

Change: an update is also cut at 256 KiB of facts; one longer fact is sent alone, so that a follower always gets on. The follower acknowledges a cut update at once, as before, and gets the rest. 256 KiB is what may be in flight to a follower anyway. Facts of usual length (some 400 bytes) are still cut by their number.

Evidence, before: FactLogTest.UpdateOfLongReportsHasABoundInBytes failed with an update of 10,251,415 bytes, FactAboveTheBoundIsSentAlone with one update in place of three, LongReportTest.ManyReachAHostThatStartsAgain with host 1 ended (1 run each). Now: they pass, the last one in 4 of 4 runs.

--- a/src/fleet/fact_log.cpp
+++ b/src/fleet/fact_log.cpp
@@ -1,6 +1,7 @@
 /** @file fact_log.cpp Facts that a control host publishes to followers. */
 
 #include <iterator>
+#include <utility>
 
 #include "fleet/fact_log_func.h"
 
@@ -8,8 +9,11 @@
 
 namespace {
 
-/** Bounds one message to some 100 KB. */
+/** Bounds one message to some 100 KB if the facts are of usual length. */
 constexpr int kMaxFactsPerUpdate = 256;
+/** Bounds one message whatever the facts contain. A fact that is longer than
+ * this is sent alone. */
+constexpr std::size_t kMaxUpdateBytes = 256 * 1024;
 
 /** @return a fact, serialized without the fields that change with each report.
  */
@@ -30,6 +34,17 @@
   return fact.entry().region() == audience.m_region;
 }
 
+/** @return a fact without the fields that followers of an audience don't need.
+ */
+gen::Fact MakeFactFor(const Audience &audience, const gen::Fact &fact) {
+  gen::Fact result = fact;
+  if (audience.m_kind == FollowerKind::kEntry && result.has_upstream()) {
+    result.mutable_upstream()->clear_in_memory();
+    result.mutable_upstream()->clear_on_disk();
+  }
+  return result;
+}
+
 }  // namespace
 
 std::string GetUpstreamKey(const std::string &id) { return "upstream/" + id; }
@@ -88,21 +103,20 @@
   update->set_publisher_epoch(log.m_epoch);
   update->set_first_number(from);
   update->set_last_number(log.m_last_number);
+  std::size_t bytes = 0;
   for (auto next = log.m_key_by_number.upper_bound(from);
        next != log.m_key_by_number.end(); ++next) {
-    const gen::Fact &fact = log.m_facts.at(next->second).m_fact;
-    if (!IsFor(audience, fact)) continue;
-    if (update->facts_size() == kMaxFactsPerUpdate) {
+    const gen::Fact &stored = log.m_facts.at(next->second).m_fact;
+    if (!IsFor(audience, stored)) continue;
+    gen::Fact fact = MakeFactFor(audience, stored);
+    bytes += fact.ByteSizeLong();
+    bool is_full =
+        bytes > kMaxUpdateBytes || update->facts_size() == kMaxFactsPerUpdate;
+    if (is_full && update->facts_size() != 0) {
       update->set_last_number(std::prev(next)->first);
       return;
     }
-    gen::Fact *added = update->add_facts();
-    *added = fact;
-    if (audience.m_kind != FollowerKind::kEntry || !added->has_upstream()) {
-      continue;
-    }
-    added->mutable_upstream()->clear_in_memory();
-    added->mutable_upstream()->clear_on_disk();
+    *update->add_facts() = std::move(fact);
   }
 }
 
--- a/src/fleet/fact_log_func.h
+++ b/src/fleet/fact_log_func.h
@@ -67,8 +67,8 @@
 };
 
 /**
- * Adds facts that a follower lacks, in the order of their changes. A long list
- * is cut; the next update continues after its last number.
+ * Adds facts that a follower lacks, in the order of their changes. A list with
+ * many facts or bytes is cut; the next update continues after its last number.
  * @param epoch publisher epoch that acked_number refers to; if it isn't the
  *        epoch of the log, no fact counts as acknowledged
  */
--- a/tests/fleet_control.cmake
+++ b/tests/fleet_control.cmake
@@ -2,6 +2,10 @@
 add_dependencies(fleet_control_process_test ww_platform_control)
 target_compile_definitions(fleet_control_process_test PRIVATE
   WW_PLATFORM_CONTROL="$<TARGET_FILE:ww_platform_control>")
+ww_add_test(fleet_control_long_report_test ww_platform_lib ww_scenario_lib)
+add_dependencies(fleet_control_long_report_test ww_platform_control)
+target_compile_definitions(fleet_control_long_report_test PRIVATE
+  WW_PLATFORM_CONTROL="$<TARGET_FILE:ww_platform_control>")
 ww_add_test(fleet_control_publisher_test ww_fleet_control_lib)
 ww_add_test(fleet_control_route_state_machine_test ww_fleet_control_lib)
 ww_add_test(fleet_freshness_test ww_fleet_control_lib)
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -167,6 +167,63 @@
   EXPECT_EQ(second.last_number(), static_cast<std::uint64_t>(kFacts));
 }
 
+gen::Fact MakeLongReport(const std::string &id, std::size_t bytes) {
+  gen::Fact fact = MakeReport(id, 5, 1, gen::UPSTREAM_READY);
+  fact.mutable_upstream()->add_models()->set_name(std::string(bytes, 'm'));
+  return fact;
+}
+
+/** @return the updates with which a follower gets all facts of a log. */
+std::vector<gen::FactUpdate> TakeAllUpdates(const FactLog &log) {
+  std::vector<gen::FactUpdate> updates;
+  std::uint64_t acked_number = 0;
+  while (acked_number < log.m_last_number) {
+    gen::FactUpdate &update = updates.emplace_back();
+    FillFactUpdate(log, log.m_epoch, acked_number, {FollowerKind::kEntry, ""},
+                   &update);
+    if (update.last_number() <= acked_number) break;
+    acked_number = update.last_number();
+  }
+  return updates;
+}
+
+// An update was bounded by its number of facts only. 256 long reports made a
+// message that the transport doesn't carry, and the publisher ended.
+TEST(FactLogTest, UpdateOfLongReportsHasABoundInBytes) {
+  constexpr int kFacts = 300;
+  constexpr std::size_t kReportBytes = 40'000;
+  constexpr std::size_t kMaxBytes = 512 * 1024;
+  FactLog log;
+  log.m_epoch = 7;
+  for (int i = 0; i < kFacts; ++i) {
+    PutFact(&log, MakeLongReport("i-" + std::to_string(i), kReportBytes));
+  }
+  int received = 0;
+  for (const gen::FactUpdate &update : TakeAllUpdates(log)) {
+    EXPECT_LT(update.ByteSizeLong(), kMaxBytes);
+    received += update.facts_size();
+  }
+  EXPECT_EQ(received, kFacts);
+}
+
+// Guards against an update that stays empty because its first fact is longer
+// than the bound; the follower would never get the facts after it.
+TEST(FactLogTest, FactAboveTheBoundIsSentAlone) {
+  constexpr std::size_t kReportBytes = 1 << 20;
+  FactLog log;
+  log.m_epoch = 7;
+  PutFact(&log, MakeReport("i-1", 5, 1, gen::UPSTREAM_READY));
+  PutFact(&log, MakeLongReport("i-2", kReportBytes));
+  PutFact(&log, MakeReport("i-3", 5, 1, gen::UPSTREAM_READY));
+  std::vector<gen::FactUpdate> updates = TakeAllUpdates(log);
+  ASSERT_EQ(updates.size(), 3u);
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_EQ(updates[i].facts_size(), 1);
+    EXPECT_EQ(updates[i].facts(0).upstream().id(),
+              "i-" + std::to_string(i + 1));
+  }
+}
+
 TEST(FollowerTest, AsksForANewerTableOnceAndAdoptsIt) {
   Follower follower;
   follower.m_seeds = {kA};
