Refuse reports that are too long before they are decoded

In 30 s all three hosts ended 8 times each; meanwhile nobody acknowledges configurations, and runners can't report.

Cause: the control host reads calls up to the 16 MiB of a document, and a report had no limit of its own. It became a fact for all followers, longer than the 8 MiB of a message, and MessageTransport::Send asserts that length. The log of an ended host ends with upstream_changed for that report and the assertion "message.size() <= m_max_message_bytes" of message_transport.cpp. A report of many values also took more than twenty times its length while it was decoded, whether it was refused then or not.

Change: calls that don't put a table in force have at most 256 KiB, the limit that a runner's answer to a status query has; it lists the same. A longer one gets 413, is logged (call_refused) and counted (too_long), before it is decoded. The protocol tells which calls put a table in force; the limit is the product's. A refused heartbeat goes to the next control host, as after any answer but 2xx, and the known reports hold.

--- a/src/fleet_control/protocol_type.h
+++ b/src/fleet_control/protocol_type.h
@@ -7,6 +7,7 @@
 #include <fleet.pb.h>
 #include <routes.pb.h>
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <set>
@@ -19,6 +20,11 @@
 
 namespace wasabiwind::fleet_control {
 
+/** Longest body of what an upstream says of itself: a report, or its answer to
+ * a status query. Other calls but those that put a table in force have the same
+ * limit. */
+inline constexpr std::size_t kMaxReportBytes = 256 * 1024;
+
 /** An upstream reports its state or that it is leaving. */
 struct ReportCall {
   gen::UpstreamReport m_report;
@@ -57,6 +63,8 @@
 
 /** Converts between internal types and a platform's messages. */
 struct ControlProtocol {
+  /** @return whether a call puts a table in force, judged by its head */
+  std::function<bool(const net::HttpRequest &)> m_puts_table;
   /** @return kNotFound for unknown calls, kInvalidArgument for malformed ones
    */
   std::function<base::Result<ControlCall>(const net::HttpRequest &)>
--- a/src/fleet_control/residency_controller.h
+++ b/src/fleet_control/residency_controller.h
@@ -59,7 +59,7 @@
   static constexpr base::milliseconds kCallTimeout{800};
   /** Time that a runner takes to load an adapter from the weight store. */
   static constexpr base::milliseconds kAdapterLoadTime{14};
-  static constexpr std::size_t kMaxResponseBytes = 256 * 1024;
+  static constexpr std::size_t kMaxResponseBytes = kMaxReportBytes;
 
   void Plan(base::TimePoint now);
   base::Duration GetPlanPause() const;
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -93,7 +93,11 @@
   FreshnessService::Hooks MakeFreshnessHooks();
   QuotaService::Hooks MakeQuotaHooks();
   std::string GetOtherLeader() const;
-  void HandleCall(const net::HttpRequest &request, net::HttpExchange &exchange);
+  net::HttpResponse AnswerCall(const net::HttpRequest &request);
+  base::Result<void> CheckLength(const net::HttpRequest &request) const;
+  net::HttpResponse RefuseCall(const net::HttpRequest &request,
+                               const char *reason, int status,
+                               const base::Error &error) const;
   net::HttpResponse HandleReport(const gen::UpstreamReport &report);
   net::HttpResponse HandlePut(const net::HttpRequest &request,
                               const gen::RouteTable &table);
@@ -289,7 +293,7 @@
   m_server = std::make_unique<net::HttpServer>(
       options,
       [this](const net::HttpRequest &request, net::HttpExchange &exchange) {
-        HandleCall(request, exchange);
+        (void)exchange.Respond(AnswerCall(request));
       });
   if (base::Result<void> done = m_server->Listen(); !done) return done;
   net::AdminHooks hooks;
@@ -573,25 +577,45 @@
   return net::MakeJsonResponse(200, std::move(*document));
 }
 
-void FleetControl::HandleCall(const net::HttpRequest &request,
-                              net::HttpExchange &exchange) {
+/** Checks the length of a call before it is decoded: decoded, a body takes many
+ * times its length, and a report is passed on to all hosts. */
+base::Result<void> FleetControl::CheckLength(
+    const net::HttpRequest &request) const {
+  bool may_be_longer = m_protocol->m_puts_table(request);
+  if (may_be_longer || request.m_body.size() <= kMaxReportBytes) return {};
+  return base::MakeError(
+      base::ErrorKind::kInvalidArgument,
+      fmt::format("the body has {} bytes", request.m_body.size()),
+      fmt::format("send at most {} bytes", kMaxReportBytes));
+}
+
+net::HttpResponse FleetControl::RefuseCall(const net::HttpRequest &request,
+                                           const char *reason, int status,
+                                           const base::Error &error) const {
+  CountRefusedCall(reason);
+  LogEvent(LogLevel::kInfo, "call_refused",
+           {{"target", request.m_target.substr(0, kMaxLoggedTargetBytes)},
+            {"error", error.ToString()}});
+  return MakeErrorResponse(status, error);
+}
+
+net::HttpResponse FleetControl::AnswerCall(const net::HttpRequest &request) {
+  if (base::Result<void> valid = CheckLength(request); !valid) {
+    return RefuseCall(request, "too_long", 413, valid.error());
+  }
   base::Result<ControlCall> call = m_protocol->m_decode_call(request);
-  net::HttpResponse response;
   if (!call) {
     bool is_unknown = call.error().m_kind == base::ErrorKind::kNotFound;
-    CountRefusedCall(is_unknown ? "unknown" : "malformed");
-    LogEvent(LogLevel::kInfo, "call_refused",
-             {{"target", request.m_target.substr(0, kMaxLoggedTargetBytes)},
-              {"error", call.error().ToString()}});
-    response = MakeErrorResponse(is_unknown ? 404 : 400, call.error());
-  } else if (const auto *report = std::get_if<ReportCall>(&*call)) {
-    response = HandleReport(report->m_report);
-  } else if (const auto *put = std::get_if<PutTableCall>(&*call)) {
-    response = HandlePut(request, put->m_table);
-  } else {
-    response = HandleGet(request);
+    return is_unknown ? RefuseCall(request, "unknown", 404, call.error())
+                      : RefuseCall(request, "malformed", 400, call.error());
+  }
+  if (const auto *report = std::get_if<ReportCall>(&*call)) {
+    return HandleReport(report->m_report);
+  }
+  if (const auto *put = std::get_if<PutTableCall>(&*call)) {
+    return HandlePut(request, put->m_table);
   }
-  (void)exchange.Respond(response);
+  return HandleGet(request);
 }
 
 void FleetControl::RunTimer() {
--- a/tests/caller_limits_process_test.cpp
+++ b/tests/caller_limits_process_test.cpp
@@ -317,6 +317,19 @@
   SendAndHold(kUploads, head + std::string(kUploadBytes - 1, 'b'));
 }
 
+// A report of many values took more than twenty times its length while it was
+// decoded, though it was refused then.
+TEST_F(ControlLimitsTest, ReportsOfManyValues) {
+  constexpr std::size_t kReportBytes = 6'000'000;
+  std::string body = "{\"seq\":[" + Repeat("0,", kReportBytes) + "0]}";
+  for (const char *call : {"Beat", "Leave"}) {
+    std::string head = std::string("POST /wasabiwind/Instances.") + call +
+                       "/odd HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n";
+    SendAndHold(1, head + body);
+  }
+}
+
 // Each header of a few bytes takes many times its size once it is parsed.
 TEST_F(CallerLimitsTest, HeadersOfManyFields) {
   SendAndHold(kLongHeaders, "POST /x HTTP/1.1\r\nHost: h\r\n" +
--- a/tests/fleet_control_long_report_test.cpp
+++ b/tests/fleet_control_long_report_test.cpp
@@ -8,6 +8,8 @@
 
 /** Limit of a message between hosts. */
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
+/** Limit of a report. */
+constexpr std::size_t kMaxReportBytes = 256 * 1024;
 /** Long enough for the hosts to tell each other what they acknowledged. */
 constexpr seconds kExchangeTime{1};
 
@@ -61,5 +63,32 @@
   EXPECT_TRUE(Put({1, 2, 3}, 3));
 }
 
+// Guards against a report that is too long for a message to the other hosts: it
+// ended the control host that had acknowledged it.
+TEST_F(LongReportTest, ReportAboveTheLimitIsRefused) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  for (int host = 1; host <= 3; ++host) {
+    EXPECT_EQ(Report(host, "odd", kMaxMessageBytes + 1), 413);
+    EXPECT_EQ(Report(host, "odd", kMaxReportBytes + 1), 413);
+    EXPECT_EQ(Report(host, "long", kMaxReportBytes), 200);
+  }
+  std::this_thread::sleep_for(kExchangeTime);
+  ExpectAllRunning();
+  EXPECT_TRUE(Put({1, 2, 3}, 3));
+}
+
+// A leave is a report as well, and a document of an operator may be longer.
+TEST_F(LongReportTest, OnlyDocumentsMayBeLonger) {
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Leave/odd",
+                 MakeLongReport(kMaxReportBytes + 1))
+                .m_status,
+            413);
+  const std::string document = MakeDocument(3, "s1");
+  const std::string padding(kMaxReportBytes, ' ');
+  EXPECT_TRUE(CallUntil({1, 2, 3}, 200, "POST", "/wasabiwind/Config.Put",
+                        document + padding));
+}
+
 }  // namespace
 }  // namespace wasabiwind::fleet_control
--- a/tests/net.cmake
+++ b/tests/net.cmake
@@ -28,7 +28,7 @@
   set_tests_properties(caller_limits_${case} PROPERTIES RUN_SERIAL TRUE
     TIMEOUT 300 LABELS caller_limits ENVIRONMENT "${limits_environment}")
 endforeach()
-foreach(case TrailersWithoutEnd BodiesThatStall)
+foreach(case TrailersWithoutEnd BodiesThatStall ReportsOfManyValues)
   add_test(NAME control_limits_${case} COMMAND caller_limits_process_test
     --gtest_filter=ControlLimitsTest.${case})
   set_tests_properties(control_limits_${case} PROPERTIES RUN_SERIAL TRUE
