Drop messages that are too long in place of ending the program

Cause: MessageTransport::Send asserted that a message isn't longer than its limit, though its length follows from what others send.

The receiver has the same limit and would close the connection, with all messages behind it. Senders repeat what matters, as for other drops; what isn't bounded shows in the log and the metric then.

--- a/src/net/message_transport.h
+++ b/src/net/message_transport.h
@@ -17,7 +17,7 @@
 
 struct MessageTransportOptions {
   Endpoint m_listen;
-  std::size_t m_max_message_bytes = 1 << 20;
+  std::size_t m_max_message_bytes = 1 << 20;  ///< sent and received
   int m_queue_limit = 1'000;  ///< messages queued to or from one peer
 };
 
@@ -45,7 +45,9 @@
   Endpoint LocalEndpoint() const;
 
   /**
-   * Queues a message to the node that listens on an endpoint.
+   * Queues a message to the node that listens on an endpoint. One that is
+   * longer than m_max_message_bytes is dropped, logged and counted: the peer
+   * would close the connection.
    * @return false if it was dropped at once; true doesn't mean delivery
    */
   bool Send(const Endpoint &peer, const std::string &message);
--- a/tests/net_message_test.cpp
+++ b/tests/net_message_test.cpp
@@ -151,6 +151,37 @@
   EXPECT_EQ(failures, 0);
 }
 
+/** Guards against a message above the limit that ends the program: its length
+ * may depend on what others sent. */
+TEST(MessageTransportTest, TooLongMessageIsDroppedAlone) {
+  constexpr std::size_t kMaxBytes = 1'000;
+  MessageTransportOptions options = AnyPort();
+  options.m_max_message_bytes = kMaxBytes;
+  MessageTransport sender(options);
+  MessageTransport receiver(options);
+  ASSERT_TRUE(sender.Listen());
+  ASSERT_TRUE(receiver.Listen());
+  RunFiberThread([&] {
+    std::vector<std::size_t> received;
+    boost::fibers::fiber receiving([&] {
+      receiver.Run([&](const std::string &m) { received.push_back(m.size()); });
+    });
+    boost::fibers::fiber sending([&] { sender.Run([](const auto &) {}); });
+    SleepFor(milliseconds(10));
+    Endpoint peer = receiver.LocalEndpoint();
+    EXPECT_FALSE(sender.Send(peer, std::string(kMaxBytes + 1, 'x')));
+    EXPECT_TRUE(sender.Send(peer, std::string(kMaxBytes, 'x')));
+    EXPECT_FALSE(sender.Send(peer, std::string(kMaxBytes + 1, 'x')));
+    EXPECT_TRUE(sender.Send(peer, "x"));
+    EXPECT_TRUE(WaitFor([&] { return received.size() == 2; }));
+    EXPECT_EQ(received, (std::vector<std::size_t>{kMaxBytes, 1}));
+    sender.Stop();
+    receiver.Stop();
+    sending.join();
+    receiving.join();
+  });
+}
+
 TEST(MessageTransportTest, DropFilterDropsOneDirection) {
   MessageTransport sender(AnyPort());
   MessageTransport receiver(AnyPort());
