Bound the memory of reports for services that aren't declared

Cause: a host keeps each upstream that was ever reported for five minutes, with all that it says of its models, in the view and in the logs of facts, and so do all other hosts. Nothing bounds how many there are. 65,000 names of one byte, 260 kB in a report, take 2.6 MB in each copy.

Change: the registry adds up the memory of the reports that this host heard. Once they take 4 MiB, a report is refused (503, counted as no_room) if it is for a service that the table doesn't declare, or if it is a leave of an upstream that nobody knows. No request can use such an upstream, and its next heartbeat is recorded as soon as its service is declared. Upstreams of declared services and known leaves are recorded as before.

Evidence: LongReportTest.UnusedUpstreamsHaveABoundInMemory failed before with 60 of 60 reports accepted and peaks of 711, 479 and 479 MB (1 run); now it passes, with 38, 34 and 34 MB, in 8 of 8 runs. A report of 3 models, 9 adapters and 26 copies of weights takes 2,144 bytes (SpaceUsedLong in a scratch program), so that 4 MiB hold some 1,900 of them.

ManyReachAHostThatStartsAgain reports for a declared service now, since its 10 MB would be refused, and repeats a report until host 1 has the table: the first form failed in 1 of 3 runs, when host 1 got the table later than the leader. The reading of the peak memory moves from caller_limits_process_test to ChildProcess, unchanged.

--- a/src/fleet_control/fact_exchange.h
+++ b/src/fleet_control/fact_exchange.h
@@ -54,6 +54,11 @@
   /** @return the message endpoints of the other control hosts. */
   std::set<std::string> ListPeers() const;
 
+  /** @copydoc Registry::HasRoomForUnused */
+  bool HasRoomForUnused(const gen::UpstreamReport &report) const {
+    return m_registry.HasRoomForUnused(report);
+  }
+
   ReportOutcome RecordUpstream(const gen::UpstreamReport &report,
                                base::TimePoint now);
 
--- a/src/fleet_control/registry.cpp
+++ b/src/fleet_control/registry.cpp
@@ -24,6 +24,28 @@
   m_view_publisher->PublishSubject(fact, now);
 }
 
+void Registry::NoteHeard(const std::string &key, std::size_t memory_bytes,
+                         base::TimePoint now) {
+  HeardSubject &subject = m_heard[key];
+  m_report_memory_bytes += memory_bytes - subject.m_memory_bytes;
+  subject = HeardSubject{now, memory_bytes};
+}
+
+void Registry::Forget(const std::string &key) {
+  auto found = m_heard.find(key);
+  if (found == m_heard.end()) return;
+  m_report_memory_bytes -= found->second.m_memory_bytes;
+  m_heard.erase(found);
+}
+
+bool Registry::HasRoomForUnused(const gen::UpstreamReport &report) const {
+  auto known = m_heard.find(fleet::GetUpstreamKey(report.id()));
+  std::size_t known_bytes =
+      known == m_heard.end() ? 0 : known->second.m_memory_bytes;
+  return m_report_memory_bytes - known_bytes + report.SpaceUsedLong() <=
+         kMaxReportMemoryBytes;
+}
+
 ReportOutcome Registry::RecordUpstream(gen::UpstreamReport report,
                                        base::TimePoint now) {
   gen::Fact fact;
@@ -44,7 +66,7 @@
                (reported.state() == gen::UPSTREAM_GONE ||
                 entry.m_report.report_number() == reported.report_number());
   if (!is_current) return ReportOutcome::kOutdated;
-  m_last_heard[fleet::GetFactKey(fact)] = now;
+  NoteHeard(fleet::GetFactKey(fact), reported.SpaceUsedLong(), now);
   *fact.mutable_upstream() = entry.m_report;
   fact.mutable_upstream()->set_is_silent(false);
   bool is_published =
@@ -58,7 +80,7 @@
   gen::Fact fact;
   *fact.mutable_entry() = std::move(entry);
   fact.mutable_entry()->set_is_silent(false);
-  m_last_heard[fleet::GetFactKey(fact)] = now;
+  NoteHeard(fleet::GetFactKey(fact), /*memory_bytes=*/0, now);
   Publish(fact, now);
 }
 
@@ -108,21 +130,21 @@
     bool is_silent = fact.upstream().is_silent() || fact.entry().is_silent();
     bool is_gone =
         fact.has_upstream() && fact.upstream().state() == gen::UPSTREAM_GONE;
-    auto heard = m_last_heard.find(key);
-    if (heard == m_last_heard.end()) continue;
+    auto heard = m_heard.find(key);
+    if (heard == m_heard.end()) continue;
     if (is_silent || is_gone) {
-      bool is_expired = now >= heard->second + fleet::kUpstreamRetention;
+      bool is_expired = now >= heard->second.m_at + fleet::kUpstreamRetention;
       if (is_expired) expired.push_back(key);
       continue;
     }
     base::milliseconds limit =
         fact.has_upstream() ? m_upstream_timeout : kEntryTimeout;
-    if (!is_late && now >= heard->second + limit) silent.push_back(fact);
+    if (!is_late && now >= heard->second.m_at + limit) silent.push_back(fact);
   }
   for (const gen::Fact &fact : silent) MarkSilent(fact, now);
   for (const std::string &key : expired) {
     m_publisher->Withdraw(key);
-    m_last_heard.erase(key);
+    Forget(key);
   }
 }
 
--- a/src/fleet_control/registry.h
+++ b/src/fleet_control/registry.h
@@ -3,6 +3,7 @@
 #ifndef WASABIWIND_FLEET_CONTROL_REGISTRY_H_
 #define WASABIWIND_FLEET_CONTROL_REGISTRY_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -36,6 +37,14 @@
   Registry(Publisher *publisher, ViewPublisher *view_publisher,
            fleet::Follower *follower, base::milliseconds heartbeat);
 
+  /**
+   * Tells whether an upstream that isn't in use may be recorded: the reports
+   * that this host heard then take a bounded amount of memory.
+   * @pre the report is of a service that isn't declared, or a leave of an
+   *      upstream that isn't known
+   */
+  bool HasRoomForUnused(const gen::UpstreamReport &report) const;
+
   ReportOutcome RecordUpstream(gen::UpstreamReport report, base::TimePoint now);
   void RecordEntry(gen::EntryHost entry, base::TimePoint now);
   void RecordControl(const gen::ControlHost &control, base::TimePoint now);
@@ -57,7 +66,19 @@
   static constexpr base::milliseconds kEntryTimeout{1'600};
   static constexpr base::milliseconds kUpstreamTimeoutMargin{500};
   static constexpr int kMissedReports = 2;
-
+  /** Unused upstreams are recorded while the reports that this host heard take
+   * at most this much memory. Hosts hold each report several times. */
+  static constexpr std::size_t kMaxReportMemoryBytes = 4 << 20;
+
+  /** A subject that this host hears itself. */
+  struct HeardSubject {
+    base::TimePoint m_at;            ///< of the last report
+    std::size_t m_memory_bytes = 0;  ///< of the last report of an upstream
+  };
+
+  void NoteHeard(const std::string &key, std::size_t memory_bytes,
+                 base::TimePoint now);
+  void Forget(const std::string &key);
   void MarkSilent(const gen::Fact &fact, base::TimePoint now);
 
   bool IsLate(base::TimePoint now);
@@ -69,7 +90,8 @@
   base::TimePoint m_ticked_at;
   /** Nobody is marked silent before this time. */
   base::TimePoint m_judges_from;
-  std::map<std::string, base::TimePoint> m_last_heard;  ///< by fact key
+  std::map<std::string, HeardSubject> m_heard;  ///< by fact key
+  std::size_t m_report_memory_bytes = 0;        ///< sum over m_heard
 };
 
 }  // namespace wasabiwind::fleet_control
--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -98,6 +98,7 @@
   net::HttpResponse RefuseCall(const net::HttpRequest &request,
                                const char *reason, int status,
                                const base::Error &error) const;
+  base::Result<void> CheckRoom(const gen::UpstreamReport &report) const;
   net::HttpResponse HandleReport(const gen::UpstreamReport &report);
   net::HttpResponse HandlePut(const net::HttpRequest &request,
                               const gen::RouteTable &table);
@@ -589,6 +590,23 @@
       fmt::format("send at most {} bytes", kMaxReportBytes));
 }
 
+/** Checks that a report fits beside those that are known. Only upstreams that
+ * no request can use are refused: those of services that aren't declared, and
+ * leaves of upstreams that nobody has reported. */
+base::Result<void> FleetControl::CheckRoom(
+    const gen::UpstreamReport &report) const {
+  bool is_in_use =
+      report.state() == gen::UPSTREAM_GONE
+          ? m_exchange->GetView().m_upstreams.contains(report.id())
+          : routes::FindService(*m_routes, report.service()) != nullptr;
+  if (is_in_use || m_exchange->HasRoomForUnused(report)) return {};
+  return base::MakeError(
+      base::ErrorKind::kOverloaded,
+      "the reports of upstreams take too much memory for one of service \"" +
+          report.service() + "\", which isn't declared",
+      "declare the service, or end what sends reports for it");
+}
+
 net::HttpResponse FleetControl::RefuseCall(const net::HttpRequest &request,
                                            const char *reason, int status,
                                            const base::Error &error) const {
@@ -610,7 +628,9 @@
                       : RefuseCall(request, "malformed", 400, call.error());
   }
   if (const auto *report = std::get_if<ReportCall>(&*call)) {
-    return HandleReport(report->m_report);
+    base::Result<void> has_room = CheckRoom(report->m_report);
+    return has_room ? HandleReport(report->m_report)
+                    : RefuseCall(request, "no_room", 503, has_room.error());
   }
   if (const auto *put = std::get_if<PutTableCall>(&*call)) {
     return HandlePut(request, put->m_table);
--- a/src/scenario/process.cpp
+++ b/src/scenario/process.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <csignal>
 #include <cstring>
+#include <fstream>
 #include <thread>
 
 #include "scenario/process_base.h"
@@ -76,6 +77,16 @@
   return {};
 }
 
+std::size_t ChildProcess::ReadPeakResidentBytes() const {
+  std::ifstream status(fmt::format("/proc/{}/status", m_pid));
+  std::string word;
+  while (status >> word) {
+    std::size_t kilobytes = 0;
+    if (word == "VmHWM:" && status >> kilobytes) return kilobytes * 1024;
+  }
+  return 0;
+}
+
 void ChildProcess::Signal(int signal) {
   if (IsRunning()) ::kill(m_pid, signal);
 }
--- a/src/scenario/process_base.h
+++ b/src/scenario/process_base.h
@@ -5,6 +5,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -47,6 +48,10 @@
   /** @return the process ID, -1 before the first start. */
   pid_t GetId() const { return m_pid; }
 
+  /** @return the most resident memory that the child has used, bytes; 0 if it
+   * has ended. */
+  std::size_t ReadPeakResidentBytes() const;
+
   /** Sends a signal if the child is running. */
   void Signal(int signal);
 
--- a/tests/caller_limits_process_test.cpp
+++ b/tests/caller_limits_process_test.cpp
@@ -137,7 +137,7 @@
   void TearDown() override {
     EXPECT_TRUE(m_process.IsRunning());
     EXPECT_TRUE(IsAnswering(kAnswerTimeout));
-    std::size_t resident = ReadPeakBytes();
+    std::size_t resident = m_process.ReadPeakResidentBytes();
     std::size_t descriptors = CountDescriptors();
     RecordProperty("peak_resident_bytes", std::to_string(resident));
     std::printf("peak %zu MB, %zu descriptors\n", resident / 1'000'000,
@@ -187,17 +187,6 @@
     return is_answered;
   }
 
-  std::size_t ReadPeakBytes() const {
-    std::ifstream status("/proc/" + std::to_string(m_process.GetId()) +
-                         "/status");
-    std::string word;
-    while (status >> word) {
-      std::size_t kilobytes = 0;
-      if (word == "VmHWM:" && status >> kilobytes) return kilobytes * 1024;
-    }
-    return 0;
-  }
-
   std::size_t CountDescriptors() const {
     std::error_code error;
     fs::directory_iterator files(
--- a/tests/fleet_control_long_report_test.cpp
+++ b/tests/fleet_control_long_report_test.cpp
@@ -10,19 +10,27 @@
 constexpr std::size_t kMaxMessageBytes = 8 << 20;
 /** Limit of a report. */
 constexpr std::size_t kMaxReportBytes = 256 * 1024;
+/** Memory of the smallest machine of a control host. */
+constexpr std::size_t kMaxResidentBytes = 256'000'000;
+constexpr std::size_t kLongNameBytes = 250;
+/** A service that the document of the tests declares. */
+constexpr const char *kDeclared = "s1";
+constexpr const char *kUnknown = "unknown";
 /** Long enough for the hosts to tell each other what they acknowledged. */
 constexpr seconds kExchangeTime{1};
 
 /** @return a report of a runner that has weights on its disk.
- * @param bytes the size of the report, at least 300
+ * @param name_bytes length of the names of the weights
+ * @param bytes the size of the report, at least 200 more than a name
  */
-std::string MakeLongReport(std::size_t bytes) {
-  constexpr std::size_t kNameBytes = 250;
+std::string MakeReport(const std::string &service, std::size_t name_bytes,
+                       std::size_t bytes) {
   std::string report =
-      R"({"service":"unknown","addr":"10.0.0.8:80","zone":"z",)"
+      R"({"service":")" + service +
+      R"(","addr":"10.0.0.8:80","zone":"z",)"
       R"("state":"ready","slots":4,"seq":1,"born":5,"available":)"
       R"({"inMemory":[],"onDisk":[)";
-  const std::string name = "\"" + std::string(kNameBytes, 'w') + "\",";
+  const std::string name = "\"" + std::string(name_bytes, 'w') + "\",";
   const std::string end = R"("w"]}})";
   while (report.size() + name.size() + end.size() <= bytes) report += name;
   // Blanks between two values change nothing.
@@ -33,9 +41,8 @@
 class LongReportTest : public FleetControlTest {
  protected:
   /** @return the status of the answer to a report. */
-  int Report(int host, const std::string &upstream, std::size_t bytes) {
-    return Call(host, "POST", "/wasabiwind/Instances.Beat/" + upstream,
-                MakeLongReport(bytes))
+  int Report(int host, const std::string &upstream, const std::string &body) {
+    return Call(host, "POST", "/wasabiwind/Instances.Beat/" + upstream, body)
         .m_status;
   }
 
@@ -52,9 +59,14 @@
   constexpr std::size_t kReportBytes = 40'000;
   constexpr int kReports = 250;
   static_assert(kReports * kReportBytes > kMaxMessageBytes);
+  const std::string report =
+      MakeReport(kDeclared, kLongNameBytes, kReportBytes);
   ASSERT_TRUE(Put({1, 2, 3}, 2));
   for (int i = 0; i < kReports; ++i) {
-    ASSERT_EQ(Report(1, "i-" + std::to_string(i), kReportBytes), 200);
+    // Until host 1 has the table, no service is declared there.
+    ASSERT_TRUE(CallUntil({1}, 200, "POST",
+                          "/wasabiwind/Instances.Beat/i-" + std::to_string(i),
+                          report));
   }
   Kill(2);
   Start(2, /*is_first=*/false);
@@ -67,10 +79,13 @@
 // ended the control host that had acknowledged it.
 TEST_F(LongReportTest, ReportAboveTheLimitIsRefused) {
   ASSERT_TRUE(Put({1, 2, 3}, 2));
+  auto report = [this](int host, std::size_t bytes) {
+    return Report(host, "odd", MakeReport(kUnknown, kLongNameBytes, bytes));
+  };
   for (int host = 1; host <= 3; ++host) {
-    EXPECT_EQ(Report(host, "odd", kMaxMessageBytes + 1), 413);
-    EXPECT_EQ(Report(host, "odd", kMaxReportBytes + 1), 413);
-    EXPECT_EQ(Report(host, "long", kMaxReportBytes), 200);
+    EXPECT_EQ(report(host, kMaxMessageBytes + 1), 413);
+    EXPECT_EQ(report(host, kMaxReportBytes + 1), 413);
+    EXPECT_EQ(report(host, kMaxReportBytes), 200);
   }
   std::this_thread::sleep_for(kExchangeTime);
   ExpectAllRunning();
@@ -81,7 +96,7 @@
 TEST_F(LongReportTest, OnlyDocumentsMayBeLonger) {
   ASSERT_TRUE(Put({1, 2, 3}, 2));
   EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Leave/odd",
-                 MakeLongReport(kMaxReportBytes + 1))
+                 MakeReport(kUnknown, kLongNameBytes, kMaxReportBytes + 1))
                 .m_status,
             413);
   const std::string document = MakeDocument(3, "s1");
@@ -90,5 +105,34 @@
                         document + padding));
 }
 
+// Guards against reports under ever new IDs that fill the memory: each was
+// short enough, and all were kept for minutes.
+TEST_F(LongReportTest, UnusedUpstreamsHaveABoundInMemory) {
+  constexpr int kReports = 60;
+  const std::string report =
+      MakeReport(kUnknown, /*name_bytes=*/1, kMaxReportBytes);
+  ASSERT_TRUE(Put({1, 2, 3}, 2));
+  int accepted = 0;
+  for (int i = 0; i < kReports; ++i) {
+    int status = Report(1, "odd-" + std::to_string(i), report);
+    ASSERT_TRUE(status == 200 || status == 503) << status;
+    if (status == 200) ++accepted;
+  }
+  EXPECT_LT(accepted, kReports);
+  std::this_thread::sleep_for(kExchangeTime);
+  for (const auto &[host, process] : m_processes) {
+    std::size_t resident = process->ReadPeakResidentBytes();
+    std::printf("host %d: peak %zu MB\n", host, resident / 1'000'000);
+    EXPECT_GT(resident, 0u);
+    EXPECT_LT(resident, kMaxResidentBytes);
+  }
+  // Upstreams of declared services are recorded as before.
+  EXPECT_EQ(
+      Report(1, "i-1", MakeReport(kDeclared, kLongNameBytes, kMaxReportBytes)),
+      200);
+  EXPECT_EQ(Call(1, "POST", "/wasabiwind/Instances.Leave/i-1", "").m_status,
+            200);
+}
+
 }  // namespace
 }  // namespace wasabiwind::fleet_control
