Bound confirmations of nodes by their bytes

A confirmation took in all reports of upstreams that weren't acknowledged, however long, and a message to a control host holds 1 MiB.

Change: a confirmation takes in 256 KiB of records, or one longer record. The rest stays queued; the next confirmation was already requested as soon as a reply finds reports queued. No parent relies on getting a full report in one message: nothing reads is_full_report.

--- a/src/member/follower.cpp
+++ b/src/member/follower.cpp
@@ -21,6 +21,24 @@
   reports->push_back(record);
 }
 
+/** Moves reports to those that are sent, as many as one message may carry; at
+ * least one is sent. The rest follows with the next confirmation, which is
+ * requested as soon as this one is answered. */
+void MoveReportsToSent(Follower *follower) {
+  std::size_t bytes = 0;
+  for (const gen::UpstreamRecord &record : follower->m_sent_reports) {
+    bytes += record.ByteSizeLong();
+  }
+  auto next = follower->m_reports.begin();
+  for (; next != follower->m_reports.end(); ++next) {
+    bytes += next->ByteSizeLong();
+    bool is_full = bytes > kMaxConfirmReportBytes;
+    if (is_full && !follower->m_sent_reports.empty()) break;
+    MergeReport(&follower->m_sent_reports, *next);
+  }
+  follower->m_reports.erase(follower->m_reports.begin(), next);
+}
+
 gen::ConfirmRequest MakeConfirmRequest(
     Follower *follower, const std::vector<gen::UpstreamRecord> &announced) {
   gen::ConfirmRequest request;
@@ -42,10 +60,7 @@
     }
     follower->m_needs_full_report = false;
   }
-  for (const gen::UpstreamRecord &record : follower->m_reports) {
-    MergeReport(&follower->m_sent_reports, record);
-  }
-  follower->m_reports.clear();
+  MoveReportsToSent(follower);
   for (const gen::UpstreamRecord &record : follower->m_sent_reports) {
     *request.add_upstreams() = record;
   }
--- a/src/member/follower_func.h
+++ b/src/member/follower_func.h
@@ -6,6 +6,7 @@
 
 #include <member.pb.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,6 +31,10 @@
   base::TimePoint m_requested_at;
 };
 
+/** Records of upstreams in one confirmation, serialized. A longer record is
+ * sent alone. */
+inline constexpr std::size_t kMaxConfirmReportBytes = 256 * 1024;
+
 /**
  * A node's side of the confirmation protocol. The copy of deltas and members is
  * kept in a Parent, so that the node can serve as a relay. Not thread-safe.
@@ -47,7 +52,7 @@
   PendingSnapshot m_snapshot;
   base::TimePoint m_next_confirm;                   ///< when to confirm next
   std::optional<base::TimePoint> m_confirmed_at;    ///< start of the lease
-  std::vector<gen::UpstreamRecord> m_reports;       ///< not yet acknowledged
+  std::vector<gen::UpstreamRecord> m_reports;       ///< not yet sent
   std::vector<gen::UpstreamRecord> m_sent_reports;  ///< in the pending request
   bool m_needs_full_report = true;
   std::vector<gen::NodeRecord> m_changed_children;  ///< relay: to forward
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -251,6 +251,33 @@
   EXPECT_TRUE(WaitFor([&] { return node.m_link.IsFresh(base::Clock::now()); }));
 }
 
+/** Guards against a confirmation that takes in more reports than a message can
+ * carry: it ended the node, or would never arrive, so that the node refuses
+ * all requests as soon as its lease has passed. */
+TEST(LinkTest, NodeWithManyLongReportsStaysFresh) {
+  constexpr int kUpstreams = 12;
+  constexpr std::size_t kRecordBytes = 200'000;
+  member::MemberOptions options;
+  options.m_lease = milliseconds(800);
+  options.m_confirm_period = milliseconds(100);
+  FakeControl control(options);
+  TestNode observer("observer", control.Address(), options);
+  TestNode other("other", control.Address(), options);
+  ASSERT_TRUE(
+      WaitFor([&] { return observer.m_link.IsFresh(base::Clock::now()); }));
+  for (int i = 0; i < kUpstreams; ++i) {
+    gen::UpstreamRecord record;
+    record.set_upstream("runner-" + std::to_string(i));
+    record.set_incarnation(1);
+    record.set_sequence(1);
+    record.add_loaded()->set_target(std::string(kRecordBytes, 't'));
+    observer.m_link.ReportUpstream(record);
+  }
+  EXPECT_TRUE(WaitFor([&] { return other.m_upstreams_seen == kUpstreams; }));
+  std::this_thread::sleep_for(options.m_lease);
+  EXPECT_TRUE(observer.m_link.IsFresh(base::Clock::now()));
+}
+
 /** Guards against new requests to a leaving upstream: all nodes must be told
  * within 2 s, even while control is unreachable. */
 TEST(LinkTest, LeavingUpstreamIsKnownEverywhere) {
