Refuse announcements that are too long

An upstream may announce 10,000 loaded and 10,000 cached targets of 256 bytes, some 5 MB. The record travels in one message between nodes, which holds 1 MiB, so it never arrived, and its node could not confirm its configuration; before messages that are too long were dropped, the node ended.

Change: an announcement of more than 256 KiB gets 400 bad_announcement with the limit, before it is parsed. A record isn't longer than its announcement, and every message with a record carries at most some 512 KiB beside it.

--- a/src/entry/announcement.cpp
+++ b/src/entry/announcement.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
+#include <cstddef>
 #include <limits>
 
 #include "net/endpoint_type.h"
@@ -17,6 +18,9 @@
 
 namespace {
 
+/** The record of an announcement is at most as long as its body, and messages
+ * between nodes carry a record of this length beside their other content. */
+constexpr std::size_t kMaxAnnouncementBytes = 256 * 1024;
 constexpr std::size_t kMaxNameBytes = 256;
 /** A runner holds tens of adapters; more entries than this are a mistake. */
 constexpr std::size_t kMaxTargets = 10'000;
@@ -161,6 +165,12 @@
 }  // namespace
 
 base::Result<Announcement> ParseAnnouncement(const std::string &body) {
+  if (body.size() > kMaxAnnouncementBytes) {
+    return base::MakeError(
+        base::ErrorKind::kInvalidArgument,
+        fmt::format("the announcement has {} bytes", body.size()),
+        fmt::format("send at most {} bytes", kMaxAnnouncementBytes));
+  }
   json::error_code parse_error;
   json::value value = json::parse(body, parse_error);
   if (parse_error || !value.is_object()) {
--- a/tests/entry_server_test.cpp
+++ b/tests/entry_server_test.cpp
@@ -52,6 +52,39 @@
   });
 }
 
+/** @return an announcement whose targets fill it up to a size. */
+std::string MakeLongAnnouncement(std::size_t bytes) {
+  constexpr std::size_t kTargetBytes = 200;
+  const std::string target =
+      R"({"target":")" + std::string(kTargetBytes, 't') + R"("},)";
+  const std::string end = R"({"target":"t"}]})";
+  std::string body =
+      R"({"upstream":"e1","kind":"engine","address":"127.0.0.1:1","loaded":[)";
+  while (body.size() + target.size() + end.size() <= bytes) body += target;
+  // Blanks between two values change nothing.
+  body.append(bytes - body.size() - end.size(), ' ');
+  return body + end;
+}
+
+/** Guards against a record that is too long for a message to other nodes: the
+ * entry host that accepted it couldn't confirm its configuration any more. */
+TEST(EntryServerTest, RefusesAnAnnouncementThatIsTooLong) {
+  constexpr std::size_t kMaxBytes = 256 * 1024;
+  net::RunFiberThread([&] {
+    EntryHarness entry;
+    net::HttpResponse refusal = entry.Send("POST", "/upstream/v1/announce",
+                                           MakeLongAnnouncement(kMaxBytes + 1));
+    EXPECT_EQ(refusal.m_status, 400);
+    EXPECT_NE(refusal.m_body.find("\"bad_announcement\""), std::string::npos);
+    EXPECT_EQ(entry
+                  .Send("POST", "/upstream/v1/announce",
+                        MakeLongAnnouncement(kMaxBytes))
+                  .m_status,
+              200);
+    entry.CloseConnections();
+  });
+}
+
 /** Guards against refusals with a wrong reason. */
 TEST(EntryServerTest, RefusesWithReasons) {
   net::RunFiberThread([&] {
