Name the limit in the refusal of reports without room

The message spoke of one service even if the refused call was a leave, which names none. It says now that no memory is left for reports of services that are not declared.

--- a/src/fleet_control/server.cpp
+++ b/src/fleet_control/server.cpp
@@ -602,9 +602,10 @@
   if (is_in_use || m_exchange->HasRoomForUnused(report)) return {};
   return base::MakeError(
       base::ErrorKind::kOverloaded,
-      "the reports of upstreams take too much memory for one of service \"" +
-          report.service() + "\", which isn't declared",
-      "declare the service, or end what sends reports for it");
+      fmt::format("no memory is left for reports of services that aren't "
+                  "declared; this one is of \"{}\"",
+                  report.service()),
+      "declare the service, or stop what sends such reports");
 }
 
 net::HttpResponse FleetControl::RefuseCall(const net::HttpRequest &request,
