--- a/tests/fleet_control_long_report_test.cpp
+++ b/tests/fleet_control_long_report_test.cpp
@@ -38,20 +38,7 @@
   return report + end;
 }
 
-class LongReportTest : public FleetControlTest {
- protected:
-  /** @return the status of the answer to a report. */
-  int Report(int host, const std::string &upstream, const std::string &body) {
-    return Call(host, "POST", "/wasabiwind/Instances.Beat/" + upstream, body)
-        .m_status;
-  }
-
-  void ExpectAllRunning() {
-    for (const auto &[host, process] : m_processes) {
-      EXPECT_TRUE(process->IsRunning()) << "host " << host;
-    }
-  }
-};
+class LongReportTest : public FleetControlTest {};
 
 // Guards against an update that takes in more long reports than a message can
 // carry: it ended the host that sent it to one that had started again.
